--- /dev/null
+++ b/state/apply.go
@@ -0,0 +1,309 @@
+package state
+
+import "fmt"
+
+// Applied tells what a command changed.
+type Applied struct {
+	Rejected error     // nil if the command was performed
+	Records  []*Record // new versions of the records that changed
+	Endpoint *Endpoint // new version of the endpoint that changed, if one did
+	Assigned []TaskRef // attempts that were assigned, for Assign
+}
+
+// Apply performs a command at a log index or rejects it without any change.
+func (d *Domain) Apply(index uint64, c Command) Applied {
+	d.applied = index
+	var a Applied
+	switch {
+	case c.Bootstrap != nil:
+		d.horizonS = max(d.horizonS, c.Bootstrap.HorizonS)
+	case c.Accept != nil:
+		a = d.accept(c.Accept)
+	case c.Assign != nil:
+		a = d.assign(c.Assign)
+	case c.Report != nil:
+		a = d.report(c.Report)
+	case c.Cancel != nil:
+		a = d.cancel(index, c.Cancel)
+	case c.Expire != nil:
+		a = d.expire(c.Expire)
+	case c.Announce != nil:
+		a = d.announce(c.Announce)
+	case c.EndpointStatus != nil:
+		a = d.setEndpointStatus(index, c.EndpointStatus)
+	case c.EndpointRemoved != nil:
+		a = d.removeEndpoint(c.EndpointRemoved)
+	case c.Adopt != nil:
+		a = d.adopt(c.Adopt)
+	case c.Forget != nil:
+		a = d.forget(c.Forget)
+	case c == Command{}:
+		// A new leader's empty entry.
+	default:
+		a.Rejected = ErrUnknownKind
+	}
+	return a
+}
+
+func (d *Domain) accept(c *Accept) Applied {
+	k := c.Request.Key
+	if d.records[k] != nil {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w", k.Team, k.ID, ErrExists)}
+	}
+	_, issued, err := k.ID.Parse()
+	if err != nil {
+		return Applied{Rejected: err}
+	}
+	if issued < d.horizonS {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w", k.Team, k.ID, ErrTooOld)}
+	}
+	r := &Record{Request: c.Request, State: make([]Task, max(1, c.Request.Tasks))}
+	for i := range r.State {
+		r.State[i].Status = TaskQueued
+	}
+	d.records[k] = r
+	return Applied{Records: []*Record{r}}
+}
+
+// assign verifies the whole plan against a running total before it changes
+// anything: two plans made from the same snapshot may claim the same capacity.
+func (d *Domain) assign(c *Assign) Applied {
+	planned := map[string]Resources{}
+	own := map[string]Resources{}
+	seen := map[TaskRef]bool{}
+	for i := range c.Items {
+		it := &c.Items[i]
+		if err := d.verify(it, planned, own, seen); err != nil {
+			return Applied{Rejected: fmt.Errorf("assign %s/%s#%d to %s: %w", it.Team, it.ID, it.Task, it.Endpoint, err)}
+		}
+	}
+	var a Applied
+	changed := map[Key]*Record{}
+	for i := range c.Items {
+		it := &c.Items[i]
+		r := changed[it.Key]
+		if r == nil {
+			r = d.records[it.Key].clone()
+			changed[it.Key] = r
+			d.records[it.Key] = r
+			a.Records = append(a.Records, r)
+		}
+		a.Assigned = append(a.Assigned, d.bind(r, it, c.AtMS))
+	}
+	return a
+}
+
+func (d *Domain) verify(it *Assignment, planned, own map[string]Resources, seen map[TaskRef]bool) error {
+	r := d.records[it.Key]
+	if r == nil {
+		return ErrNoRequest
+	}
+	if it.Task < 0 || it.Task >= len(r.State) || r.State[it.Task].Status != TaskQueued || r.Cancel {
+		return ErrNotQueued
+	}
+	ref := TaskRef{Key: it.Key, Task: it.Task}
+	if seen[ref] {
+		return ErrNotQueued
+	}
+	seen[ref] = true
+	e := d.endpoints[it.Endpoint]
+	if e == nil || e.Incarnation != it.Incarnation {
+		return ErrNoEndpoint
+	}
+	if !e.TakesWork() {
+		return ErrNotReady
+	}
+	planned[e.Name] = planned[e.Name].Add(r.PerTask)
+	if !planned[e.Name].FitsIn(e.Free()) {
+		return ErrNoCapacity
+	}
+	if !it.Borrowed {
+		own[r.Team] = own[r.Team].Add(r.PerTask)
+		if !own[r.Team].Add(d.usage[r.Team].Own).FitsIn(d.shares[r.Team]) {
+			return ErrOverQuota
+		}
+	}
+	return nil
+}
+
+// TakesWork reports whether new work may be assigned to the endpoint. An endpoint
+// that was quarantined takes trial tasks.
+func (e *Endpoint) TakesWork() bool {
+	return e.Status == EndpointReady || e.Status == EndpointQuarantined
+}
+
+func (d *Domain) bind(r *Record, it *Assignment, atMS int64) TaskRef {
+	e := *d.endpoints[it.Endpoint]
+	e.LastSeq++
+	e.Reserved = e.Reserved.Add(r.PerTask)
+	e.Assigned++
+	d.endpoints[e.Name] = &e
+	t := &r.State[it.Task]
+	t.Status, t.Attempt = TaskAssigned, t.Attempt+1
+	t.Endpoint, t.Incarnation, t.Seq = e.Name, e.Incarnation, e.LastSeq
+	t.AssignedMS, t.Borrowed = atMS, it.Borrowed
+	d.index(r, it.Task)
+	d.addUsage(r, it.Borrowed, 1)
+	return TaskRef{Key: r.Key, Task: it.Task, Attempt: t.Attempt}
+}
+
+// release returns the capacity that a task reserves.
+func (d *Domain) release(r *Record, task int) {
+	t := &r.State[task]
+	if old := d.endpoints[t.Endpoint]; old != nil && old.Incarnation == t.Incarnation {
+		e := *old
+		e.Reserved = e.Reserved.Sub(r.PerTask)
+		e.Assigned--
+		d.endpoints[e.Name] = &e
+	}
+	if m := d.assigned[t.Endpoint]; m != nil {
+		delete(m, t.Seq)
+		if len(m) == 0 {
+			delete(d.assigned, t.Endpoint)
+		}
+	}
+	d.addUsage(r, t.Borrowed, -1)
+	t.Held = false
+}
+
+// report ends an attempt. A report for an attempt that is not the current one is
+// rejected, except that the report of unrepeatable work settles an unknown task.
+func (d *Domain) report(c *Report) Applied {
+	old := d.records[c.Key]
+	if old == nil {
+		return Applied{Rejected: fmt.Errorf("%s: %w", c.TaskRef, ErrNoRequest)}
+	}
+	if c.Task < 0 || c.Task >= len(old.State) {
+		return Applied{Rejected: fmt.Errorf("%s: %w", c.TaskRef, ErrStale)}
+	}
+	cur := &old.State[c.Task]
+	current := cur.Attempt == c.Attempt && cur.Endpoint == c.Endpoint && cur.Incarnation == c.Incarnation
+	if !current || (cur.Status != TaskAssigned && cur.Status != TaskUnknown) {
+		return Applied{Rejected: fmt.Errorf("%s: %w", c.TaskRef, ErrStale)}
+	}
+	r := old.clone()
+	if cur.Reserves() {
+		d.release(r, c.Task)
+	}
+	t := &r.State[c.Task]
+	t.Error, t.Result = c.Error, c.Result
+	t.Status = endStatus(r, t, c)
+	switch {
+	case c.Status == TaskNotRun:
+		t.Declined++
+	case c.Status == TaskFailed && !c.EndpointBad:
+		t.Failures++
+		t.FailedOn = append(t.FailedOn[:len(t.FailedOn):len(t.FailedOn)], c.Endpoint)
+	}
+	if t.Status == TaskQueued {
+		t.NotBeforeMS = c.NotBeforeMS
+	} else {
+		t.FinalMS = c.AtMS
+	}
+	d.store(r, c.AtMS)
+	return Applied{Records: []*Record{r}, Endpoint: d.endpoints[c.Endpoint]}
+}
+
+// endStatus decides what a report makes of a task. Work that may have started is
+// queued again only if it is repeatable.
+func endStatus(r *Record, t *Task, c *Report) TaskStatus {
+	mayRepeat := r.Repeatable || c.Status == TaskNotRun
+	if c.Requeue && mayRepeat && !r.Cancel {
+		return TaskQueued
+	}
+	if c.Status == TaskNotRun && t.Attempt > 1+t.Declined {
+		return TaskFailed // an earlier attempt may have run
+	}
+	return c.Status
+}
+
+// store replaces a record and notes when its last open task ended.
+func (d *Domain) store(r *Record, atMS int64) {
+	r.FinalMS = atMS
+	for i := range r.State {
+		if !r.State[i].Status.Final() {
+			r.FinalMS = 0
+			break
+		}
+	}
+	d.records[r.Key] = r
+}
+
+// endQueued ends the queued tasks of r. "Not run" is true only of tasks whose
+// attempts, if any, were all declined.
+func endQueued(r *Record, atMS int64, ran TaskStatus, reason string) {
+	for i := range r.State {
+		t := &r.State[i]
+		if t.Status != TaskQueued {
+			continue
+		}
+		t.Status = ran
+		if t.Attempt == t.Declined {
+			t.Status = TaskNotRun
+		}
+		t.FinalMS, t.Error = atMS, reason
+	}
+}
+
+func (d *Domain) cancel(index uint64, c *Cancel) Applied {
+	old := d.records[c.Key]
+	if old == nil {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w", c.Team, c.ID, ErrNoRequest)}
+	}
+	if old.Final() || old.Cancel {
+		return Applied{Records: []*Record{old}}
+	}
+	r := old.clone()
+	r.Cancel, r.Reason = true, "cancelled by "+c.Actor
+	endQueued(r, c.AtMS, TaskCancelled, r.Reason)
+	d.store(r, c.AtMS)
+	d.audit = append(d.audit, AuditRecord{Index: index, AtMS: c.AtMS, Actor: c.Actor, Action: "cancel", Target: string(c.ID), Result: "applied"})
+	return Applied{Records: []*Record{r}}
+}
+
+func (d *Domain) expire(c *Expire) Applied {
+	old := d.records[c.Key]
+	if old == nil {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w", c.Team, c.ID, ErrNoRequest)}
+	}
+	if old.Final() {
+		return Applied{Records: []*Record{old}}
+	}
+	r := old.clone()
+	r.Reason = c.Reason
+	endQueued(r, c.AtMS, TaskFailed, c.Reason)
+	d.store(r, c.AtMS)
+	return Applied{Records: []*Record{r}}
+}
+
+func (d *Domain) adopt(c *AdoptConfiguration) Applied {
+	if c.Config.Version <= d.adopted.Version {
+		return Applied{Rejected: fmt.Errorf("configuration %d, in force %d: %w", c.Config.Version, d.adopted.Version, ErrOldVersion)}
+	}
+	d.adopted = c.Config
+	d.shares = c.Shares
+	return Applied{}
+}
+
+// forget removes final records. The horizon moves past the issue time of each in
+// the same step: otherwise a late resend of a forgotten ID would run again.
+func (d *Domain) forget(c *Forget) Applied {
+	horizon := max(d.horizonS, c.HorizonS)
+	for _, k := range c.Keys {
+		r := d.records[k]
+		if r == nil || !r.Final() {
+			continue
+		}
+		if _, issued, err := k.ID.Parse(); err == nil {
+			horizon = max(horizon, issued+1)
+		}
+		for i := range r.State {
+			if r.State[i].Held {
+				d.release(r.clone(), i)
+			}
+		}
+		delete(d.records, k)
+	}
+	d.horizonS = horizon
+	return Applied{}
+}
--- /dev/null
+++ b/state/command.go
@@ -0,0 +1,149 @@
+package state
+
+import "encoding/json"
+
+// Command is one change to replicated state. Exactly one field is set. All times
+// in commands were stamped by the leader that proposed them, so that Apply gives
+// the same result on every replica.
+type Command struct {
+	// Domain group.
+	Bootstrap       *Bootstrap          `json:"bootstrap,omitempty"`
+	Accept          *Accept             `json:"accept,omitempty"`
+	Assign          *Assign             `json:"assign,omitempty"`
+	Report          *Report             `json:"report,omitempty"`
+	Cancel          *Cancel             `json:"cancel,omitempty"`
+	Expire          *Expire             `json:"expire,omitempty"`
+	Announce        *Announce           `json:"announce,omitempty"`
+	EndpointStatus  *SetEndpointStatus  `json:"endpoint_status,omitempty"`
+	EndpointRemoved *RemoveEndpoint     `json:"endpoint_removed,omitempty"`
+	Adopt           *AdoptConfiguration `json:"adopt,omitempty"`
+	Forget          *Forget             `json:"forget,omitempty"`
+
+	// Cell group.
+	Configure *Configure `json:"configure,omitempty"`
+	Transfer  *Transfer  `json:"transfer,omitempty"`
+}
+
+// Bootstrap is the first command of a group.
+type Bootstrap struct {
+	HorizonS int64 `json:"horizon_s"` // request IDs issued before it are refused, Unix seconds
+}
+
+// Accept stores a request. It is rejected if the key exists or the ID was issued
+// before the request horizon.
+type Accept struct {
+	Request Request `json:"request"`
+}
+
+// Assignment binds one queued task to an endpoint.
+type Assignment struct {
+	Key
+	Task        int    `json:"task"`
+	Endpoint    string `json:"endpoint"`
+	Incarnation uint64 `json:"incarnation"`
+	Borrowed    bool   `json:"borrowed,omitempty"` // counts against idle quota of other teams
+}
+
+// Assign binds tasks to endpoints, all of them or none. It is the plan that the
+// leader submits; Apply verifies it again.
+type Assign struct {
+	AtMS  int64        `json:"at_ms"`
+	Items []Assignment `json:"items"`
+}
+
+// Report ends the current attempt of a task.
+type Report struct {
+	TaskRef
+	AtMS        int64           `json:"at_ms"`
+	Endpoint    string          `json:"endpoint"`
+	Incarnation uint64          `json:"incarnation"`
+	Status      TaskStatus      `json:"status"` // done, failed, not_run or cancelled
+	Result      json.RawMessage `json:"result,omitempty"`
+	Error       string          `json:"error,omitempty"`
+	Requeue     bool            `json:"requeue,omitempty"`      // try again; ignored for unrepeatable work that ran
+	EndpointBad bool            `json:"endpoint_bad,omitempty"` // blame is on the endpoint: no retry is used up
+	NotBeforeMS int64           `json:"not_before_ms,omitempty"`
+}
+
+// Cancel ends the queued tasks of a request and marks the others to be stopped.
+type Cancel struct {
+	Key
+	AtMS  int64  `json:"at_ms"`
+	Actor string `json:"actor"`
+}
+
+// Expire ends the queued tasks of a request that can no longer be useful or can
+// never run.
+type Expire struct {
+	Key
+	AtMS   int64  `json:"at_ms"`
+	Reason string `json:"reason"`
+}
+
+// Announce adds an endpoint, or replaces its earlier incarnation, whose tasks
+// have ended by then.
+type Announce struct {
+	AtMS     int64    `json:"at_ms"`
+	Endpoint Endpoint `json:"endpoint"` // Reserved, Assigned and LastSeq are ignored
+}
+
+// SetEndpointStatus changes the membership state of an endpoint. Status lost also
+// ends the leases of its tasks: repeatable ones are queued again, unrepeatable
+// ones become unknown.
+type SetEndpointStatus struct {
+	AtMS        int64          `json:"at_ms"`
+	Name        string         `json:"name"`
+	Incarnation uint64         `json:"incarnation"`
+	Status      EndpointStatus `json:"status"`
+	Actor       string         `json:"actor,omitempty"` // operator, if one asked for it
+}
+
+// RemoveEndpoint forgets a lost endpoint.
+type RemoveEndpoint struct {
+	AtMS        int64  `json:"at_ms"`
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// AdoptConfiguration puts a configuration in force in the domain. It is rejected
+// unless its version is above the adopted one.
+type AdoptConfiguration struct {
+	AtMS   int64                  `json:"at_ms"`
+	Config VersionedConfiguration `json:"config"`
+	Shares map[string]Resources   `json:"shares"` // the domain's part of each team's quota
+}
+
+// Forget removes final records and moves the request horizon past them.
+type Forget struct {
+	Keys     []Key `json:"keys"`
+	HorizonS int64 `json:"horizon_s"` // Unix seconds
+}
+
+// Configure replaces the configuration of the cell by compare-and-set.
+type Configure struct {
+	AtMS     int64         `json:"at_ms"`
+	Actor    string        `json:"actor"`
+	ChangeID string        `json:"change_id"` // a resend carries the same one
+	Expected uint64        `json:"expected"`  // version that the operator saw
+	Config   Configuration `json:"config"`
+}
+
+// Transfer records the grant of quota that one domain has given up and another
+// may take.
+type Transfer struct {
+	ID     string    `json:"id"`
+	Team   string    `json:"team"`
+	From   string    `json:"from"` // failure domain
+	To     string    `json:"to"`   // failure domain
+	Amount Resources `json:"amount"`
+}
+
+// EncodeCommand returns the stored and transmitted form of a command.
+func EncodeCommand(c Command) ([]byte, error) { return json.Marshal(c) }
+
+// DecodeCommand is the inverse of EncodeCommand.
+func DecodeCommand(b []byte) (Command, error) {
+	var c Command
+	err := json.Unmarshal(b, &c)
+	return c, err
+}
--- /dev/null
+++ b/state/configuration.go
@@ -0,0 +1,45 @@
+package state
+
+// Configuration is the whole operator-visible configuration of a cell. It is
+// generated from the teams' questionnaires and replaced as a unit.
+type Configuration struct {
+	Teams map[string]TeamConfig `json:"teams"`
+}
+
+// TeamConfig is the configuration of one team.
+type TeamConfig struct {
+	Quota Resources             `json:"quota"` // total for the cell
+	Kinds map[string]KindConfig `json:"kinds"`
+}
+
+// KindConfig is the policy of one kind of request of a team.
+type KindConfig struct {
+	Class        Class     `json:"class"`
+	Repeatable   bool      `json:"repeatable"`
+	PerTask      Resources `json:"per_task"`                 // default size of a task
+	EstimateMS   int64     `json:"estimate_ms,omitempty"`    // declared run time
+	DeadlineMS   int64     `json:"deadline_ms,omitempty"`    // from acceptance to completion, 0 for none
+	MaxWaitMS    int64     `json:"max_wait_ms,omitempty"`    // bound on waiting of deferrable work
+	Retries      int       `json:"retries,omitempty"`        // attempts after the first failure
+	MaxTasks     int       `json:"max_tasks,omitempty"`      // 0 means 1
+	MaxPerSecond int       `json:"max_per_second,omitempty"` // expected peak, 0 for no limit
+}
+
+// VersionedConfiguration is a configuration with its place in the history.
+type VersionedConfiguration struct {
+	Version       uint64        `json:"version"` // 0 is the empty configuration of a new cell
+	Configuration Configuration `json:"configuration"`
+}
+
+// AuditRecord tells of one attempt to change something.
+type AuditRecord struct {
+	Index      uint64 `json:"index"` // of the log entry
+	AtMS       int64  `json:"at_ms"` // Unix milliseconds
+	Actor      string `json:"actor"`
+	Action     string `json:"action"`
+	Target     string `json:"target,omitempty"`
+	From       uint64 `json:"from,omitempty"`       // configuration version before
+	To         uint64 `json:"to,omitempty"`         // configuration version after
+	Difference string `json:"difference,omitempty"` // one line per changed field
+	Result     string `json:"result"`               // "applied", or the reason of the refusal
+}
--- /dev/null
+++ b/state/log.go
@@ -0,0 +1,51 @@
+package state
+
+// Member is one replica of a group.
+type Member struct {
+	Name        string `json:"name"`        // of the process, from its settings
+	Incarnation uint64 `json:"incarnation"` // votes and acknowledgements of any other are ignored
+	Address     string `json:"address"`     // host:port, host is an IP number
+	Domain      string `json:"domain"`      // failure domain of the VM
+	Disk        bool   `json:"disk"`        // has a data folder
+}
+
+// Membership lists the voters of a group.
+type Membership struct {
+	Voters []Member `json:"voters"` // sorted by name
+}
+
+// Find returns the voter of the given name, or nil.
+func (m *Membership) Find(name string) *Member {
+	for i := range m.Voters {
+		if m.Voters[i].Name == name {
+			return &m.Voters[i]
+		}
+	}
+	return nil
+}
+
+// Entry is one entry of a group's log. An entry changes either the state or the
+// membership. An entry with neither is the first one of a new leader.
+type Entry struct {
+	Index      uint64      `json:"index"`
+	Term       uint64      `json:"term"`
+	Command    Command     `json:"command"`
+	Membership *Membership `json:"membership,omitempty"`
+}
+
+// HardState is what a replica must have synced before it sends a message that
+// depends on it.
+type HardState struct {
+	Term uint64 `json:"term"`
+	Vote string `json:"vote,omitempty"` // member voted for in Term
+}
+
+// Snapshot is the state of a group at one log index. One of Domain and Cell is
+// set.
+type Snapshot struct {
+	Index      uint64          `json:"index"`
+	Term       uint64          `json:"term"` // of the entry at Index
+	Membership Membership      `json:"membership"`
+	Domain     *DomainSnapshot `json:"domain,omitempty"`
+	Cell       *CellSnapshot   `json:"cell,omitempty"`
+}
--- /dev/null
+++ b/state/records.go
@@ -0,0 +1,275 @@
+package state
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Class selects the scheduling policy of a request.
+type Class string
+
+// The classes, in the order in which they are served when slots are short.
+const (
+	ClassUrgent      Class = "urgent"      // before everything that may wait
+	ClassInteractive Class = "interactive" // a caller waits at the screen
+	ClassDeferrable  Class = "deferrable"  // leftover slots, bounded waiting
+	ClassBatch       Class = "batch"       // by deadline, packed tightly
+	ClassGang        Class = "gang"        // all tasks start together or none
+	ClassService     Class = "service"     // long-running, spread over racks
+)
+
+// Classes lists every class once.
+var Classes = []Class{ClassUrgent, ClassInteractive, ClassDeferrable, ClassBatch, ClassGang, ClassService}
+
+// Valid reports whether c is one of Classes.
+func (c Class) Valid() bool {
+	for _, k := range Classes {
+		if c == k {
+			return true
+		}
+	}
+	return false
+}
+
+// UsesSlots reports whether requests of the class run in runner slots. The
+// others run on workers.
+func (c Class) UsesSlots() bool {
+	return c == ClassUrgent || c == ClassInteractive || c == ClassDeferrable
+}
+
+// RequestID names a request and its home domain:
+// "<domain>.<issue time, Unix seconds, hex>.<random>". Only the home domain's
+// group can accept the request.
+type RequestID string
+
+// NewRequestID builds an ID from its parts. random must not contain a dot.
+func NewRequestID(domain string, issued int64, random string) RequestID {
+	return RequestID(domain + "." + strconv.FormatInt(issued, 16) + "." + random)
+}
+
+// Parse returns the home domain and the issue time in Unix seconds.
+func (id RequestID) Parse() (domain string, issued int64, err error) {
+	parts := strings.Split(string(id), ".")
+	if len(parts) != 3 || parts[0] == "" || parts[2] == "" {
+		return "", 0, fmt.Errorf("request ID %q: want <domain>.<hex seconds>.<random>", string(id))
+	}
+	issued, err = strconv.ParseInt(parts[1], 16, 64)
+	if err != nil || issued < 0 {
+		return "", 0, fmt.Errorf("request ID %q: issue time %q is not a hexadecimal number of seconds", string(id), parts[1])
+	}
+	return parts[0], issued, nil
+}
+
+// Key identifies a request. Teams are separate name spaces, so that no team can
+// see or block another team's request.
+type Key struct {
+	Team string    `json:"team"`
+	ID   RequestID `json:"id"`
+}
+
+// Resources is an amount of endpoint capacity.
+type Resources struct {
+	Slots        int `json:"slots,omitempty"`        // runner slots
+	MilliCores   int `json:"milli_cores,omitempty"`  // thousandths of a core
+	MemoryMB     int `json:"memory_mb,omitempty"`    // mebibytes
+	Accelerators int `json:"accelerators,omitempty"` // whole devices
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.Slots + o.Slots, r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r - o. Fields may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.Slots - o.Slots, r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Scale returns n times r.
+func (r Resources) Scale(n int) Resources {
+	return Resources{r.Slots * n, r.MilliCores * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// FitsIn reports whether every field of r is at most that of free.
+func (r Resources) FitsIn(free Resources) bool {
+	return r.Slots <= free.Slots && r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// IsNegative reports whether any field is below zero.
+func (r Resources) IsNegative() bool {
+	return r.Slots < 0 || r.MilliCores < 0 || r.MemoryMB < 0 || r.Accelerators < 0
+}
+
+// Request is what a caller submitted, after the defaults of its kind were filled
+// in from the configuration.
+type Request struct {
+	Key
+	Kind       string          `json:"kind"`
+	Class      Class           `json:"class"`
+	Repeatable bool            `json:"repeatable"`
+	Tasks      int             `json:"tasks"`                 // at least 1
+	PerTask    Resources       `json:"per_task"`              // reserved for each task
+	Payload    json.RawMessage `json:"payload,omitempty"`     // handed to the endpoint unchanged
+	Digest     uint64          `json:"digest"`                // of the submitted body, to tell a resend from a conflict
+	AcceptedMS int64           `json:"accepted_ms"`           // Unix milliseconds
+	DeadlineMS int64           `json:"deadline_ms,omitempty"` // Unix milliseconds, 0 for none
+	EstimateMS int64           `json:"estimate_ms,omitempty"` // declared run time of a task
+	Retries    int             `json:"retries,omitempty"`     // further attempts after a failure
+}
+
+// TaskStatus is the state of one task of a request.
+type TaskStatus string
+
+// Task states. Queued and Assigned can change; the others are final, except
+// that Unknown may still become Done or Failed by a late report.
+const (
+	TaskQueued    TaskStatus = "queued"
+	TaskAssigned  TaskStatus = "assigned"
+	TaskDone      TaskStatus = "done"
+	TaskFailed    TaskStatus = "failed"
+	TaskNotRun    TaskStatus = "not_run"
+	TaskCancelled TaskStatus = "cancelled"
+	TaskUnknown   TaskStatus = "unknown"
+)
+
+// Reserves reports whether the task counts against its endpoint's capacity. An
+// unrepeatable task on a lost endpoint may still be running there, so it keeps
+// its reservation until it is reported or the endpoint restarts.
+func (t *Task) Reserves() bool { return t.Status == TaskAssigned || t.Held }
+
+// Final reports whether the status ends the task.
+func (s TaskStatus) Final() bool { return s != TaskQueued && s != TaskAssigned }
+
+// Task is one task of a request and its current attempt.
+type Task struct {
+	Status      TaskStatus      `json:"status"`
+	Attempt     int             `json:"attempt,omitempty"`       // counts assignments, 1 for the first
+	Endpoint    string          `json:"endpoint,omitempty"`      // of the current attempt
+	Incarnation uint64          `json:"incarnation,omitempty"`   // of that endpoint
+	Seq         uint64          `json:"seq,omitempty"`           // per-endpoint number of the assignment
+	AssignedMS  int64           `json:"assigned_ms,omitempty"`   // Unix milliseconds
+	FinalMS     int64           `json:"final_ms,omitempty"`      // Unix milliseconds
+	Borrowed    bool            `json:"borrowed,omitempty"`      // runs on idle quota of other teams
+	Held        bool            `json:"held,omitempty"`          // unknown, and its capacity is still reserved
+	Declined    int             `json:"declined,omitempty"`      // attempts that the endpoint stated it never started
+	Failures    int             `json:"failures,omitempty"`      // attempts that ran and failed, blame on the job
+	FailedOn    []string        `json:"failed_on,omitempty"`     // endpoints of those failures
+	NotBeforeMS int64           `json:"not_before_ms,omitempty"` // earliest next attempt, Unix milliseconds
+	Result      json.RawMessage `json:"result,omitempty"`
+	Error       string          `json:"error,omitempty"`
+}
+
+// Outcome is what a caller is told about a request.
+type Outcome string
+
+// Outcomes. NotRun is said only on the evidence listed in docs/design.md 4.2.
+const (
+	OutcomeWaiting   Outcome = "waiting"
+	OutcomeRunning   Outcome = "running"
+	OutcomeDone      Outcome = "done"
+	OutcomeFailed    Outcome = "failed"
+	OutcomeNotRun    Outcome = "not_run"
+	OutcomeCancelled Outcome = "cancelled" // stopped after it had started
+	OutcomeUnknown   Outcome = "unknown"   // may have run
+)
+
+// Record is a request with its tasks. It is immutable once stored.
+type Record struct {
+	Request
+	State   []Task `json:"state"` // one per task, indexed by task number
+	Cancel  bool   `json:"cancel,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+	FinalMS int64  `json:"final_ms,omitempty"` // 0 while any task is open
+}
+
+// Outcome derives the caller's outcome from the tasks.
+func (r *Record) Outcome() Outcome {
+	var n = make(map[TaskStatus]int, 4)
+	for i := range r.State {
+		n[r.State[i].Status]++
+	}
+	total := len(r.State)
+	switch {
+	case n[TaskAssigned] > 0:
+		return OutcomeRunning
+	case n[TaskQueued] > 0 && n[TaskQueued] == total:
+		return OutcomeWaiting
+	case n[TaskQueued] > 0:
+		return OutcomeRunning
+	case n[TaskDone] == total:
+		return OutcomeDone
+	case n[TaskUnknown] > 0:
+		return OutcomeUnknown
+	case n[TaskFailed] > 0:
+		return OutcomeFailed
+	case n[TaskNotRun] == total:
+		return OutcomeNotRun
+	default:
+		return OutcomeCancelled
+	}
+}
+
+// Final reports whether no task of the record is open.
+func (r *Record) Final() bool { return r.FinalMS != 0 }
+
+func (r *Record) clone() *Record {
+	c := *r
+	c.State = append([]Task(nil), r.State...)
+	return &c
+}
+
+// EndpointKind tells runners from workers.
+type EndpointKind string
+
+// Endpoint kinds.
+const (
+	KindRunner EndpointKind = "runner" // offers slots
+	KindWorker EndpointKind = "worker" // offers cores, memory and accelerators
+)
+
+// EndpointStatus is the membership state of an endpoint.
+type EndpointStatus string
+
+// Endpoint states. Only Ready endpoints get new work; Quarantined ones get a trial
+// task now and then.
+const (
+	EndpointReady       EndpointStatus = "ready"
+	EndpointSuspect     EndpointStatus = "suspect"     // silent, lease still running
+	EndpointFlapping    EndpointStatus = "flapping"    // returned too often, not yet steady
+	EndpointQuarantined EndpointStatus = "quarantined" // failed what it started
+	EndpointLeaving     EndpointStatus = "leaving"     // finishes its work, gets nothing new
+	EndpointLost        EndpointStatus = "lost"        // lease surely ended
+)
+
+// Endpoint is a runner or worker that has announced itself. It is immutable once
+// stored.
+type Endpoint struct {
+	Name        string         `json:"name"`
+	Kind        EndpointKind   `json:"kind"`
+	Address     string         `json:"address"` // host:port, host is an IP number
+	Incarnation uint64         `json:"incarnation"`
+	Capacity    Resources      `json:"capacity"`
+	Rack        string         `json:"rack,omitempty"`
+	Status      EndpointStatus `json:"status"`
+	Since       int64          `json:"since_ms"` // of the status, Unix milliseconds
+	Reserved    Resources      `json:"reserved"` // sum over the assigned tasks
+	Assigned    int            `json:"assigned"` // number of assigned tasks
+	LastSeq     uint64         `json:"last_seq"` // of the latest assignment
+}
+
+// Free returns the unreserved capacity.
+func (e *Endpoint) Free() Resources { return e.Capacity.Sub(e.Reserved) }
+
+// TaskRef names one attempt of one task.
+type TaskRef struct {
+	Key
+	Task    int `json:"task"`
+	Attempt int `json:"attempt"`
+}
+
+// String returns team/id#task@attempt, for log lines and errors.
+func (t TaskRef) String() string {
+	return fmt.Sprintf("%s/%s#%d@%d", t.Team, t.ID, t.Task, t.Attempt)
+}
