--- a/protocol/strictjson/faults.go
+++ b/protocol/strictjson/faults.go
@@ -39,15 +39,6 @@
 // Add appends a fault.
 func (fs *Faults) Add(path, text string) { *fs = append(*fs, Fault{Path: path, Text: text}) }
 
-// Under prefixes every path with the path of the enclosing value.
-func (fs Faults) Under(prefix string) Faults {
-	out := make(Faults, len(fs))
-	for i, f := range fs {
-		out[i] = Fault{Path: Join(prefix, f.Path), Text: f.Text}
-	}
-	return out
-}
-
 // Join appends a field or an index to a path.
 func Join(path, next string) string {
 	if path == "" || next == "" || strings.HasPrefix(next, "[") {
