replication: consensus of one group as a state machine

Cause: domain groups and the cell group need elections, replication, leases and membership changes without I/O or a clock, so that tests can replay them. Change: coordination/replication with log, elections, appends, leases, membership changes and bootstrap; state.Membership gets GroupID. Persisted takes the batch number of a Ready: an index and a term do not tell two saved votes apart.

--- /dev/null
+++ b/coordination/replication/bootstrap.go
@@ -0,0 +1,166 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// joinInterval is the time between two requests to join, and between two queries
+// for the group at bootstrap.
+const joinInterval = 200 * time.Millisecond
+
+// wantsJoin reports whether this replica asks to be admitted: it has no
+// membership, is not listed, or is listed with other properties, such as an
+// earlier address. An incarnation that was a voter and was removed does not ask.
+func (g *Group) wantsJoin() bool {
+	if g.membership() == nil {
+		return true
+	}
+	if v := g.voter(g.self.Incarnation); v != nil {
+		return g.role != leader && *v != g.self
+	}
+	return !g.wasVoter()
+}
+
+func (g *Group) sendJoins() {
+	g.joinAt = g.now + joinInterval
+	learning := g.membership() != nil && !g.isVoter() && g.leader != "" && g.hearsLeader()
+	if learning {
+		return
+	}
+	for _, to := range g.knownMembers() {
+		self := g.self
+		g.send(to, Message{Type: MsgJoin, Member: &self, Nonce: g.nonce, Known: g.membership() != nil})
+	}
+}
+
+// knownMembers returns the voters and the founding names, without this replica.
+// Their incarnations are left out: they may have changed.
+func (g *Group) knownMembers() []state.Member {
+	var known []state.Member
+	for _, v := range g.voters() {
+		known = append(known, state.Member{Name: v.Name, Address: v.Address})
+	}
+	for _, name := range g.cfg.Bootstrap {
+		if g.voters() == nil || g.membership().Find(name) == nil {
+			known = append(known, state.Member{Name: name})
+		}
+	}
+	return slices.DeleteFunc(known, func(m state.Member) bool { return m.Name == g.self.Name })
+}
+
+func (g *Group) handleJoin(m *Message) {
+	if g.membership() == nil {
+		g.answerEmpty(m)
+		return
+	}
+	if !m.Known {
+		g.answerKnown(m)
+	}
+	if m.GroupID == g.groupID() && g.role == leader {
+		g.register(*m.Member)
+	}
+}
+
+// answerEmpty tells a replica that this one is empty too. The asker may found a
+// group on this answer, so the nonce is drawn again: answers that an earlier
+// group sent before must not be adopted after it.
+func (g *Group) answerEmpty(m *Message) {
+	if !g.answered[m.FromIncarnation] {
+		g.answered[m.FromIncarnation] = true
+		g.nonce, g.joinGroup = g.cfg.Rand.Uint64(), 0
+	}
+	self := g.self
+	g.reply(m, Message{Type: MsgJoinResponse, Member: &self, Nonce: m.Nonce})
+}
+
+func (g *Group) answerKnown(m *Message) {
+	g.foundAgain(m)
+	g.founded = false
+	self := g.self
+	r := Message{Type: MsgJoinResponse, Known: true, Member: &self, Nonce: m.Nonce}
+	if g.log.offset == 0 {
+		if e := g.log.entries[0]; e.Membership != nil && listed(e.Membership.Voters, m.FromIncarnation) {
+			r.Entries = []state.Entry{e}
+		}
+	}
+	g.reply(m, r)
+}
+
+func (g *Group) handleJoinResponse(m *Message) {
+	if g.membership() != nil || m.Nonce != g.nonce || m.Member == nil {
+		return
+	}
+	if !m.Known {
+		g.founders[m.From] = *m.Member
+		g.foundIfComplete()
+		return
+	}
+	first := g.joinGroup != m.GroupID
+	g.joinGroup = m.GroupID
+	if len(m.Entries) == 1 && g.adopt(m.Entries[0]) {
+		return
+	}
+	if first {
+		g.sendJoins()
+	}
+}
+
+// foundIfComplete creates the group if this replica has the lowest founding name
+// and all others have answered that they are empty.
+func (g *Group) foundIfComplete() {
+	if len(g.cfg.Bootstrap) == 0 || g.self.Name != slices.Min(g.cfg.Bootstrap) || g.joinGroup != 0 {
+		return
+	}
+	for _, name := range g.cfg.Bootstrap {
+		if _, ok := g.founders[name]; !ok && name != g.self.Name {
+			return
+		}
+	}
+	g.found()
+}
+
+// found creates the group: its first entry lists the members and its new ID.
+func (g *Group) found() {
+	m := state.Membership{GroupID: g.cfg.Rand.Uint64() | 1}
+	g.founders[g.self.Name] = g.self
+	for _, name := range g.cfg.Bootstrap {
+		m.Voters = with(m.Voters, g.founders[name])
+	}
+	g.founded = true
+	g.begin(state.Entry{Index: 1, Term: 1, Membership: &m})
+}
+
+// foundAgain replaces the group that this process created if a founding member
+// has restarted without its state and nobody was told of the group yet. With two
+// members the group could otherwise never have a majority.
+func (g *Group) foundAgain(m *Message) {
+	v := g.membership().Find(m.From)
+	if !g.founded || g.log.last() != 1 || v == nil || v.Incarnation == m.FromIncarnation {
+		return
+	}
+	g.founders[m.From] = *m.Member
+	g.becomeFollower(g.term, "")
+	g.truncate(1)
+	g.found()
+}
+
+// adopt takes the first entry of a group that lists this empty replica.
+func (g *Group) adopt(e state.Entry) bool {
+	ok := e.Index == 1 && e.Term == 1 && e.Membership != nil && e.Membership.GroupID == g.joinGroup &&
+		listed(e.Membership.Voters, g.self.Incarnation)
+	if ok {
+		g.begin(e)
+	}
+	return ok
+}
+
+func (g *Group) begin(first state.Entry) {
+	g.appendEntries(first)
+	if g.term < first.Term {
+		g.setTerm(first.Term, "")
+	}
+	g.resetElection()
+}
--- /dev/null
+++ b/coordination/replication/lease.go
@@ -0,0 +1,126 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// leaseDuration is the minimum election timeout less 20% for clock drift and
+	// scheduling delays.
+	leaseDuration = 400 * time.Millisecond
+
+	// contactTimeout: a leader that no majority has acknowledged for so long gives
+	// up. By then the others may have elected a successor.
+	contactTimeout = maxElectionTimeout
+
+	// transferTimeout bounds the time in which the leader refuses proposals while
+	// it waits for the successor to catch up.
+	transferTimeout = time.Second
+)
+
+// quorumAck returns the latest time such that a majority of the voters in force
+// has acknowledged a message sent at it or later. It is computed from the current
+// voters each time: a lease must not outlive the membership that gave it.
+func (g *Group) quorumAck(now time.Duration) (sent time.Duration, ok bool) {
+	var acks []time.Duration
+	voters := g.voters()
+	for _, v := range voters {
+		if v.Incarnation == g.self.Incarnation {
+			acks = append(acks, now)
+		} else if p := g.peer(v.Incarnation); p != nil && p.hasAck {
+			acks = append(acks, p.acked)
+		}
+	}
+	need := len(voters)/2 + 1
+	if len(acks) < need {
+		return 0, false
+	}
+	slices.Sort(acks)
+	return acks[len(acks)-need], true
+}
+
+// quorumContact returns when a leader was last sure of a majority.
+func (g *Group) quorumContact() time.Duration {
+	sent, ok := g.quorumAck(g.now)
+	if !ok {
+		return g.electedAt
+	}
+	return max(sent, g.electedAt)
+}
+
+// HasLease reports whether no other replica can have become leader by now.
+func (g *Group) HasLease(now time.Duration) bool {
+	if g.role != leader {
+		return false
+	}
+	now = max(now, g.now)
+	sent, ok := g.quorumAck(now)
+	return ok && now-sent < leaseDuration
+}
+
+// ReadCurrent returns the index up to which entries must be applied before a read
+// sees everything that was accepted. ok is false if this replica must not answer.
+func (g *Group) ReadCurrent(now time.Duration) (index uint64, ok bool) {
+	if !g.HasLease(now) || g.commit < g.termStart {
+		return 0, false
+	}
+	return g.commit, true
+}
+
+// TransferLeadership hands the leadership to a voter, or to the one that has
+// caught up furthest if to is empty. Proposals are refused until it succeeds or
+// transferTimeout has passed.
+func (g *Group) TransferLeadership(now time.Duration, to string) error {
+	g.advance(now)
+	if g.role != leader {
+		return ErrNotLeader
+	}
+	p := g.successor(to)
+	if p == nil {
+		return errors.Wrap(ErrNoMember, "transfer leadership")
+	}
+	g.transferTo, g.transferBy = p.member.Name, g.now+transferTimeout
+	g.continueTransfer(p)
+	return nil
+}
+
+func (g *Group) successor(to string) *progress {
+	var best *progress
+	for _, p := range g.peers {
+		if !listed(g.voters(), p.member.Incarnation) || to != "" && p.member.Name != to {
+			continue
+		}
+		if best == nil || p.match > best.match {
+			best = p
+		}
+	}
+	return best
+}
+
+// continueTransfer asks a successor that has caught up to take over. The leader
+// steps down before the message leaves: the election that it starts ignores the
+// lease, and the message may arrive at any later time.
+func (g *Group) continueTransfer(p *progress) {
+	if g.role != leader || g.transferTo != p.member.Name || p.match < g.log.last() || !listed(g.voters(), p.member.Incarnation) {
+		return
+	}
+	g.send(p.member, Message{Type: MsgTransferLeader})
+	g.becomeFollower(g.term, "")
+}
+
+func (g *Group) handleTransfer(m *Message) {
+	if m.Term == g.term && g.role == follower && g.isVoter() {
+		g.campaign(true)
+	}
+}
+
+// StepDown gives up the leadership, for example because the disk fails.
+func (g *Group) StepDown(now time.Duration) {
+	g.advance(now)
+	if g.role == leader {
+		g.becomeFollower(g.term, "")
+	}
+}
--- /dev/null
+++ b/coordination/replication/message.go
@@ -0,0 +1,76 @@
+package replication
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// MessageType selects the meaning of a Message's fields.
+type MessageType uint8
+
+// Message types. The values are not stable across releases; encodings use names.
+const (
+	MsgJoin            MessageType = iota + 1 // Member, Nonce, Known: asks for the group and for admission to it
+	MsgJoinResponse                           // Member, Known, Nonce, Entries: founding entry if the joiner is listed in it
+	MsgPreVote                                // Term: the term a vote would be for; Index, LogTerm: last entry
+	MsgPreVoteResponse                        // Reject
+	MsgVote                                   // Index, LogTerm: last entry; Transfer
+	MsgVoteResponse                           // Reject
+	MsgAppend                                 // Index, LogTerm: entry before Entries; Commit, SentAt
+	MsgAppendResponse                         // Index, Hint, Reject, SentAt
+	MsgSnapshot                               // Snapshot, SentAt
+	MsgTransferLeader                         // the receiver starts an election at once
+)
+
+var messageNames = [...]string{
+	MsgJoin: "join", MsgJoinResponse: "join_response", MsgPreVote: "pre_vote", MsgPreVoteResponse: "pre_vote_response",
+	MsgVote: "vote", MsgVoteResponse: "vote_response", MsgAppend: "append", MsgAppendResponse: "append_response",
+	MsgSnapshot: "snapshot", MsgTransferLeader: "transfer_leader",
+}
+
+// String returns the name used in log lines and encodings, or "unknown".
+func (t MessageType) String() string {
+	if t == 0 || int(t) >= len(messageNames) {
+		return "unknown"
+	}
+	return messageNames[t]
+}
+
+// ParseMessageType is the inverse of String. It returns 0 for an unknown name.
+func ParseMessageType(name string) MessageType {
+	for i, n := range messageNames {
+		if n == name && i != 0 {
+			return MessageType(i)
+		}
+	}
+	return 0
+}
+
+// Message is exchanged between the replicas of one group. Entries and Snapshot
+// are shared with the sender's log and must not be changed.
+type Message struct {
+	Type            MessageType
+	Group           string
+	GroupID         uint64 // 0 if the sender knows no group yet
+	From, To        string
+	FromIncarnation uint64
+	ToIncarnation   uint64 // 0 in a MsgJoin: the sender does not know it
+	FromAddress     string // host:port
+	ToAddress       string // host:port; empty if only the receiver's name is known
+	Term            uint64
+
+	Index   uint64 // see MessageType; in a response to an append the synced index that matches, or the refused one
+	LogTerm uint64
+	Commit  uint64
+	Hint    uint64        // in a response to an append: the matching index, synced or not; if refused, where to try next
+	SentAt  time.Duration // by the leader's clock; echoed, so that the lease counts from the sending
+	Reject  bool
+
+	Transfer bool // the leader gave up its lease for this election
+	Known    bool // the sender belongs to a group
+	Nonce    uint64
+	Member   *state.Member
+	Entries  []state.Entry
+	Snapshot *state.Snapshot
+}
--- /dev/null
+++ b/coordination/replication/ready.go
@@ -0,0 +1,123 @@
+package replication
+
+import "github.com/primrosereach/primrosereach/state"
+
+// Ready is the output of a replica since the last call. The caller saves in this
+// order: Snapshot (which replaces the stored log), HardState, Entries. It may
+// send Messages and apply at once, without waiting for the save.
+type Ready struct {
+	Batch     uint64           // to pass to Persisted; 0 if there is nothing to save
+	MustSync  bool             // the save must be synced before Persisted is called
+	HardState *state.HardState // nil if unchanged
+	Snapshot  *state.Snapshot  // received: to save and to install before Committed is applied
+	Entries   []state.Entry    // to save after dropping stored entries from Entries[0].Index on
+	Messages  []Message        // their dependencies are synced
+	Committed []state.Entry    // to apply, in order; an entry with a Membership has no command
+}
+
+// Ready returns what there is to do and empties the buffers.
+func (g *Group) Ready() Ready {
+	if g.role == leader {
+		g.replicate()
+	}
+	r := Ready{Snapshot: g.installing, Entries: g.log.slice(g.taken, g.log.last())}
+	if g.hardTaken != g.hardVersion {
+		r.HardState = &state.HardState{Term: g.term, Vote: g.vote}
+	}
+	if r.HardState != nil || r.Snapshot != nil || len(r.Entries) > 0 {
+		g.batch++
+		r.Batch, r.MustSync = g.batch, g.self.Disk
+		g.saves = append(g.saves, save{batch: g.batch, index: g.log.last(), hardVersion: g.hardVersion})
+	}
+	g.installing, g.hardTaken, g.taken = nil, g.hardVersion, g.log.last()
+	r.Messages, g.outbox = g.outbox, nil
+	r.Committed = g.log.slice(g.applied, g.commit)
+	g.applied = g.commit
+	return r
+}
+
+// Persisted tells that everything in the Ready with the given batch number and
+// in those before it is synced. A member without a disk calls it at once.
+func (g *Group) Persisted(batch uint64) {
+	n := 0
+	for n < len(g.saves) && g.saves[n].batch <= batch {
+		g.persisted = max(g.persisted, g.saves[n].index)
+		g.hardSynced = g.saves[n].hardVersion
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	g.saves = g.saves[n:]
+	g.releaseHeld()
+	switch g.role {
+	case leader:
+		g.advanceCommit()
+	case candidate:
+		g.countVotes()
+	default:
+		g.acknowledgeSynced()
+	}
+}
+
+func (g *Group) releaseHeld() {
+	n := 0
+	for n < len(g.held) && g.held[n].hardVersion <= g.hardSynced {
+		g.outbox = append(g.outbox, g.held[n].m)
+		n++
+	}
+	g.held = g.held[n:]
+}
+
+// send queues a message. It is held back until the term and vote that it
+// depends on are synced.
+func (g *Group) send(to state.Member, m Message) {
+	m.Group, m.GroupID = g.cfg.Group, g.groupID()
+	m.From, m.FromIncarnation, m.FromAddress = g.self.Name, g.self.Incarnation, g.self.Address
+	m.To, m.ToIncarnation, m.ToAddress = to.Name, to.Incarnation, to.Address
+	if m.Term == 0 {
+		m.Term = g.term
+	}
+	if g.hardSynced < g.hardVersion {
+		g.held = append(g.held, heldMessage{g.hardVersion, m})
+		return
+	}
+	g.outbox = append(g.outbox, m)
+}
+
+// reply answers a message.
+func (g *Group) reply(m *Message, r Message) {
+	g.send(state.Member{Name: m.From, Incarnation: m.FromIncarnation, Address: m.FromAddress}, r)
+}
+
+// compactionTail is the number of entries kept before a snapshot, so that a
+// follower that was away for a moment needs no snapshot.
+const compactionTail = 1024
+
+// SnapshotHeader returns a snapshot without state at the last entry handed out
+// by Ready. The caller fills in the state as of that entry.
+func (g *Group) SnapshotHeader() state.Snapshot {
+	s := state.Snapshot{Index: g.applied}
+	s.Term, _ = g.log.term(g.applied)
+	for _, m := range g.memberships {
+		if m.index <= g.applied {
+			s.Membership = m.Membership
+		}
+	}
+	return s
+}
+
+// SnapshotTaken tells of a saved snapshot made from SnapshotHeader. The log
+// before it is dropped, except for a tail.
+func (g *Group) SnapshotTaken(s *state.Snapshot) {
+	if s.Index > g.applied || g.snapshot != nil && s.Index <= g.snapshot.Index {
+		return
+	}
+	g.snapshot = s
+	if s.Index > compactionTail {
+		g.log.compact(max(g.log.offset, s.Index-compactionTail))
+	}
+	for len(g.memberships) > 1 && g.memberships[1].index <= g.log.offset {
+		g.forgetMemberships(1)
+	}
+}
--- a/state/log.go
+++ b/state/log.go
@@ -11,7 +11,8 @@
 
 // Membership lists the voters of a group.
 type Membership struct {
-	Voters []Member `json:"voters"` // sorted by name
+	GroupID uint64   `json:"group_id"` // drawn at bootstrap, tells apart groups of the same name
+	Voters  []Member `json:"voters"`   // sorted by name
 }
 
 // Find returns the voter of the given name, or nil.
