--- /dev/null
+++ b/state/storage/errors.go
@@ -0,0 +1,44 @@
+package storage
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+var (
+	// ErrLocked reports that another process has the data directory open.
+	ErrLocked = errors.New("data directory is in use by another process")
+	// ErrVersion reports a file written in a format that this version of the
+	// program does not know.
+	ErrVersion = errors.New("unknown format version")
+	// ErrFailed reports that a file operation of the log failed, now or earlier.
+	// The log stays read-only until the process restarts: after a failed sync the
+	// kernel may have dropped the unsynced pages, so a later sync that succeeds
+	// proves nothing about them.
+	ErrFailed = errors.New("log has failed and accepts no more writes")
+	// ErrInvalid reports a call that contradicts the log, for example a gap in the
+	// indexes. Nothing was written and the log stays usable.
+	ErrInvalid = errors.New("invalid argument")
+	// ErrClosed reports a call after Store.Close.
+	ErrClosed = errors.New("store is closed")
+)
+
+// CorruptError reports damage that is not the torn end of a log: stored data
+// that was synced is unreadable, inconsistent or missing.
+type CorruptError struct {
+	File   string // path
+	Offset int64  // in bytes from the start of File, of the first bad frame
+	Reason string
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s is corrupt at offset %d: %s", e.File, e.Offset, e.Reason)
+}
+
+// failure is the error that put a log into the failed state. It matches both
+// ErrFailed and its cause.
+type failure struct{ cause error }
+
+func (f *failure) Error() string   { return ErrFailed.Error() + ": " + f.cause.Error() }
+func (f *failure) Unwrap() []error { return []error{ErrFailed, f.cause} }
--- /dev/null
+++ b/state/storage/storagetest/fs.go
@@ -0,0 +1,470 @@
+// Package storagetest has an in-memory file system for tests of code that uses
+// package storage. It loses unsynced data at a crash, fails chosen operations and
+// counts them. All random choices come from one seed.
+package storagetest
+
+import (
+	"bytes"
+	"io"
+	"io/fs"
+	"maps"
+	"math/rand"
+	"path/filepath"
+	"slices"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"github.com/primrosereach/primrosereach/state/storage"
+)
+
+// SectorBytes is the unit in which a torn write reaches the disk.
+const SectorBytes = 512
+
+// ErrStopped is returned by a handle that was opened before the last Crash.
+var ErrStopped = errors.New("file handle of a stopped process")
+
+// Loss tells what a crash does to data that was not synced. What was synced
+// survives all but AllLost. File handles and locks never survive.
+type Loss int
+
+// Kinds of loss.
+const (
+	NothingLost  Loss = iota // the process is killed, the machine stays up
+	UnsyncedLost             // power loss before anything unsynced was written back
+	UnsyncedTorn             // power loss amid write-back: each unsynced sector, file length and directory entry survives or not at random; lost sectors read as zeros
+	AllLost                  // the disk is replaced by an empty one
+)
+
+// Op is a kind of operation that can be made to fail.
+type Op int
+
+// Operations. OpSync covers File.Sync, OpSyncDir covers FS.SyncDir.
+const (
+	OpWrite Op = iota
+	OpSync
+	OpSyncDir
+	OpCreate
+	OpRename
+	OpRemove
+	opCount
+)
+
+// Counts holds the number of operations and bytes since the file system was made.
+type Counts struct {
+	Writes, Syncs, DirSyncs, Creates, Renames, Removes int
+	BytesWritten, BytesRead                            int64
+}
+
+// FS is a storage.FS in memory. It is safe for concurrent use.
+type FS struct {
+	mu      sync.Mutex
+	rand    *rand.Rand
+	root    map[string]*inode // directories that exist from the start
+	visible map[string]*inode // what the running process sees, by cleaned path
+	durable map[string]*inode // directory entries that survive a power loss
+	locked  map[string]bool
+	epoch   int // counts crashes
+	faults  [opCount][]fault
+	counts  Counts
+}
+
+type fault struct {
+	after int // operations that still succeed
+	err   error
+}
+
+// inode is a file or directory. Files only grow by appending.
+type inode struct {
+	dir   bool
+	data  []byte // visible content
+	disk  []byte // content that survives a power loss, a prefix of data but for lost pages
+	dirty int    // offset in data from which the next sync writes
+}
+
+var _ storage.FS = (*FS)(nil)
+
+// New returns a file system that holds only the directory root, with its parents.
+func New(seed int64, root string) *FS {
+	f := &FS{rand: rand.New(rand.NewSource(seed)), locked: map[string]bool{}}
+	f.visible = map[string]*inode{}
+	for p := filepath.Clean(root); ; p = filepath.Dir(p) {
+		f.visible[p] = &inode{dir: true}
+		if p == filepath.Dir(p) {
+			break
+		}
+	}
+	f.root, f.durable = maps.Clone(f.visible), maps.Clone(f.visible)
+	return f
+}
+
+// Fail makes one operation of the given kind return err: the nth one from now, the
+// next one for n = 1. A failing write appends half of its bytes. A failing sync
+// drops the dirty pages: they stay readable, but no later sync writes them. Other
+// operations have no effect when they fail.
+func (f *FS) Fail(op Op, n int, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults[op] = append(f.faults[op], fault{after: n - 1, err: err})
+}
+
+// ClearFaults removes the faults that have not occurred yet.
+func (f *FS) ClearFaults() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = [opCount][]fault{}
+}
+
+// Counts returns what was done so far.
+func (f *FS) Counts() Counts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.counts
+}
+
+// Crash stops the process that uses the file system. Faults stay armed.
+func (f *FS) Crash(loss Loss) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.epoch++
+	f.locked = map[string]bool{}
+	switch loss {
+	case NothingLost:
+		return
+	case AllLost:
+		f.visible = maps.Clone(f.root)
+	case UnsyncedLost:
+		f.visible = f.survivors(false)
+	case UnsyncedTorn:
+		f.visible = f.survivors(true)
+	}
+	for _, p := range sorted(f.visible) {
+		n := f.visible[p]
+		if loss == UnsyncedTorn {
+			f.tear(n)
+		}
+		n.data, n.dirty = bytes.Clone(n.disk), len(n.disk)
+	}
+	f.durable = maps.Clone(f.visible)
+}
+
+// survivors returns the directory entries after a power loss. If torn is true, each
+// unsynced change of an entry was written or not at random.
+func (f *FS) survivors(torn bool) map[string]*inode {
+	after := maps.Clone(f.durable)
+	all := maps.Clone(f.durable)
+	maps.Copy(all, f.visible)
+	for _, p := range sorted(all) {
+		if torn && f.visible[p] != f.durable[p] && f.rand.Intn(2) == 0 {
+			after[p] = f.visible[p]
+		}
+		if after[p] == nil || after[filepath.Dir(p)] == nil {
+			delete(after, p)
+		}
+	}
+	return after
+}
+
+func (f *FS) tear(n *inode) {
+	grown := len(n.data) - len(n.disk)
+	if grown == 0 {
+		return
+	}
+	end := len(n.disk) + f.rand.Intn(grown+1)
+	kept := len(n.disk)
+	disk := append(bytes.Clone(n.disk), make([]byte, end-kept)...)
+	for from := kept; from < end; {
+		to := min(end, (from/SectorBytes+1)*SectorBytes)
+		if f.rand.Intn(2) == 0 && from >= n.dirty {
+			copy(disk[from:to], n.data[from:to])
+		}
+		from = to
+	}
+	n.disk = disk
+}
+
+// Files returns the sizes in bytes of all files, by path.
+func (f *FS) Files() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sizes := map[string]int64{}
+	for p, n := range f.visible {
+		if !n.dir {
+			sizes[p] = int64(len(n.data))
+		}
+	}
+	return sizes
+}
+
+// Corrupt inverts the bits of mask in the byte of a file at an offset, on the disk
+// as well. It panics if there is no such byte.
+func (f *FS) Corrupt(name string, offset int64, mask byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.visible[filepath.Clean(name)]
+	n.data[offset] ^= mask
+	if offset < int64(len(n.disk)) {
+		n.disk[offset] ^= mask
+	}
+}
+
+// Clone returns a copy of the file system as the running process sees it, all of it
+// synced, with its own seed and without faults, locks and counts.
+func (f *FS) Clone(seed int64) *FS {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &FS{rand: rand.New(rand.NewSource(seed)), locked: map[string]bool{}, root: f.root, visible: map[string]*inode{}}
+	for p, n := range f.visible {
+		c.visible[p] = &inode{dir: n.dir, data: bytes.Clone(n.data), disk: bytes.Clone(n.data), dirty: len(n.data)}
+	}
+	c.durable = maps.Clone(c.visible)
+	return c
+}
+
+// Mkdir implements storage.FS.
+func (f *FS) Mkdir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := filepath.Clean(dir)
+	if f.visible[p] != nil {
+		return fs.ErrExist
+	}
+	if err := f.parent(p); err != nil {
+		return err
+	}
+	f.visible[p] = &inode{dir: true}
+	return nil
+}
+
+// List implements storage.FS.
+func (f *FS) List(dir string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	dir = filepath.Clean(dir)
+	if f.visible[dir] == nil {
+		return nil, fs.ErrNotExist
+	}
+	var names []string
+	for _, p := range sorted(f.visible) {
+		if filepath.Dir(p) == dir && p != dir {
+			names = append(names, filepath.Base(p))
+		}
+	}
+	return names, nil
+}
+
+// Open implements storage.FS.
+func (f *FS) Open(name string) (io.ReadCloser, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.visible[filepath.Clean(name)]
+	if n == nil || n.dir {
+		return nil, fs.ErrNotExist
+	}
+	return &reader{fs: f, r: bytes.NewReader(bytes.Clone(n.data))}, nil
+}
+
+// Create implements storage.FS. The old content of an existing file is lost at once.
+func (f *FS) Create(name string) (storage.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Creates++
+	p := filepath.Clean(name)
+	if err := f.parent(p); err != nil {
+		return nil, err
+	}
+	if err := f.fault(OpCreate); err != nil {
+		return nil, err
+	}
+	n := f.visible[p]
+	if n == nil {
+		n = &inode{}
+		f.visible[p] = n
+	}
+	n.data, n.disk, n.dirty = nil, nil, 0
+	return &handle{fs: f, n: n, epoch: f.epoch}, nil
+}
+
+// Rename implements storage.FS.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Renames++
+	from, to = filepath.Clean(from), filepath.Clean(to)
+	n := f.visible[from]
+	if n == nil {
+		return fs.ErrNotExist
+	}
+	if err := f.fault(OpRename); err != nil {
+		return err
+	}
+	delete(f.visible, from)
+	f.visible[to] = n
+	return nil
+}
+
+// Remove implements storage.FS.
+func (f *FS) Remove(name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Removes++
+	p := filepath.Clean(name)
+	if f.visible[p] == nil {
+		return fs.ErrNotExist
+	}
+	if err := f.fault(OpRemove); err != nil {
+		return err
+	}
+	delete(f.visible, p)
+	return nil
+}
+
+// SyncDir implements storage.FS.
+func (f *FS) SyncDir(dir string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.DirSyncs++
+	dir = filepath.Clean(dir)
+	if f.visible[dir] == nil {
+		return fs.ErrNotExist
+	}
+	if err := f.fault(OpSyncDir); err != nil {
+		return err
+	}
+	for p := range f.durable {
+		if filepath.Dir(p) == dir && f.visible[p] == nil {
+			delete(f.durable, p)
+		}
+	}
+	for p, n := range f.visible {
+		if filepath.Dir(p) == dir {
+			f.durable[p] = n
+		}
+	}
+	return nil
+}
+
+// Lock implements storage.FS.
+func (f *FS) Lock(name string) (io.Closer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := filepath.Clean(name)
+	if err := f.parent(p); err != nil {
+		return nil, err
+	}
+	if f.locked[p] {
+		return nil, storage.ErrLocked
+	}
+	if f.visible[p] == nil {
+		f.visible[p] = &inode{}
+	}
+	f.locked[p] = true
+	return &lock{fs: f, name: p, epoch: f.epoch}, nil
+}
+
+func (f *FS) parent(p string) error {
+	if d := f.visible[filepath.Dir(p)]; d == nil || !d.dir {
+		return fs.ErrNotExist
+	}
+	return nil
+}
+
+// fault counts an operation against the armed faults.
+func (f *FS) fault(op Op) error {
+	var err error
+	armed := f.faults[op][:0]
+	for _, x := range f.faults[op] {
+		if x.after == 0 {
+			err = x.err
+			continue
+		}
+		x.after--
+		armed = append(armed, x)
+	}
+	f.faults[op] = armed
+	return err
+}
+
+func sorted(m map[string]*inode) []string { return slices.Sorted(maps.Keys(m)) }
+
+type handle struct {
+	fs    *FS
+	n     *inode
+	epoch int
+}
+
+func (h *handle) Write(p []byte) (int, error) {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return 0, ErrStopped
+	}
+	h.fs.counts.Writes++
+	err := h.fs.fault(OpWrite)
+	if err != nil {
+		p = p[:len(p)/2]
+	}
+	h.n.data = append(h.n.data, p...)
+	h.fs.counts.BytesWritten += int64(len(p))
+	return len(p), err
+}
+
+func (h *handle) Sync() error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return ErrStopped
+	}
+	h.fs.counts.Syncs++
+	n := h.n
+	from := n.dirty
+	n.dirty = len(n.data)
+	if err := h.fs.fault(OpSync); err != nil {
+		return err
+	}
+	if from == n.dirty {
+		return nil
+	}
+	n.disk = append(n.disk, make([]byte, len(n.data)-len(n.disk))...)
+	copy(n.disk[from:], n.data[from:])
+	return nil
+}
+
+func (h *handle) Close() error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return ErrStopped
+	}
+	return nil
+}
+
+type reader struct {
+	fs *FS
+	r  *bytes.Reader
+}
+
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.r.Read(p)
+	r.fs.mu.Lock()
+	defer r.fs.mu.Unlock()
+	r.fs.counts.BytesRead += int64(n)
+	return n, err
+}
+
+func (r *reader) Close() error { return nil }
+
+type lock struct {
+	fs    *FS
+	name  string
+	epoch int
+}
+
+func (l *lock) Close() error {
+	l.fs.mu.Lock()
+	defer l.fs.mu.Unlock()
+	if l.epoch == l.fs.epoch {
+		delete(l.fs.locked, l.name)
+	}
+	return nil
+}
