scheduling: first working scheduler over queue and placement

Cause: the Scheduler interface had no implementation. Change: coordination/queue orders waiting tasks in lanes of equal team, kind and size; coordination/placement indexes endpoints by speed tier, free capacity and rack; scheduling.New combines them with default estimator, admission, retry and health parts that Options can replace. Conclusion: complete enough to be wired into the daemon.

--- /dev/null
+++ b/coordination/placement/pool.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"math/bits"
+
+	"github.com/google/btree"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// levels is the number of steps of free capacity in the index.
+	levels = 128
+	// milliCoresPerLevel makes a task of whole or half cores start at the lower
+	// bound of a level, where every node has enough cores.
+	milliCoresPerLevel = 500
+	// candidates bounds how many nodes with room are scored in one search.
+	candidates = 8
+	treeDegree = 8
+)
+
+// Pool indexes the endpoints of one kind that take work.
+type Pool struct {
+	kind     state.EndpointKind
+	nodes    map[string]*Node
+	tiers    [tierCount]shelf
+	racks    map[string]*rack
+	rackTree *btree.BTreeG[*rack]
+	capacity state.Resources         // of the indexed nodes
+	sizes    map[state.Resources]int // capacities of all known nodes
+	free     state.Resources         // available on the indexed nodes
+	ids      uint64
+
+	// Visited counts the nodes and racks that searches looked at.
+	Visited uint64
+}
+
+// shelf holds the nodes of one tier, by level of free capacity.
+type shelf struct {
+	trees [levels]*btree.BTreeG[*Node]
+	used  [levels / 64]uint64 // one bit for each level that has nodes
+}
+
+func nodeLess(a, b *Node) bool {
+	if a.secondary != b.secondary {
+		return a.secondary < b.secondary
+	}
+	return a.id < b.id
+}
+
+// NewPool returns an empty pool.
+func NewPool(kind state.EndpointKind) *Pool {
+	return &Pool{
+		kind:     kind,
+		nodes:    map[string]*Node{},
+		racks:    map[string]*rack{},
+		rackTree: btree.NewG(treeDegree, rackLess),
+		sizes:    map[state.Resources]int{},
+	}
+}
+
+// Node returns the named node, or nil.
+func (p *Pool) Node(name string) *Node { return p.nodes[name] }
+
+// Len returns the number of known nodes.
+func (p *Pool) Len() int { return len(p.nodes) }
+
+// Capacity returns the total capacity of the nodes that take work.
+func (p *Pool) Capacity() state.Resources { return p.capacity }
+
+// Available returns the total of what the indexed nodes have available.
+func (p *Pool) Available() state.Resources { return p.free }
+
+// Nodes calls f for each node. The order is random.
+func (p *Pool) Nodes(f func(*Node)) {
+	for _, n := range p.nodes {
+		f(n)
+	}
+}
+
+// Update adds an endpoint or replaces its earlier version. Only ready endpoints
+// are found by searches.
+func (p *Pool) Update(e *state.Endpoint, speed float64) *Node {
+	n := p.nodes[e.Name]
+	if n == nil {
+		p.ids++
+		n = &Node{id: p.ids}
+		p.nodes[e.Name] = n
+	} else {
+		if n.indexed && n.sameShape(e, speed) {
+			n.Endpoint, n.Speed = e, speed
+			p.reindex(n)
+			return n
+		}
+		p.unindex(n)
+		p.forgetSize(n.Endpoint.Capacity)
+	}
+	n.Endpoint, n.Speed = e, speed
+	p.sizes[e.Capacity]++
+	p.index(n)
+	return n
+}
+
+// sameShape reports whether only the reservations of an indexed endpoint changed.
+func (n *Node) sameShape(e *state.Endpoint, speed float64) bool {
+	o := n.Endpoint
+	return e.Status == o.Status && e.Capacity == o.Capacity && e.Rack == o.Rack && TierOf(speed) == n.tier
+}
+
+// Remove forgets an endpoint.
+func (p *Pool) Remove(name string) {
+	if n := p.nodes[name]; n != nil {
+		p.unindex(n)
+		p.forgetSize(n.Endpoint.Capacity)
+		delete(p.nodes, name)
+	}
+}
+
+// SetSpeed moves a node to the tier of its newly learned speed.
+func (p *Pool) SetSpeed(n *Node, speed float64) {
+	if TierOf(speed) == n.tier {
+		n.Speed = speed
+		return
+	}
+	p.unindex(n)
+	n.Speed = speed
+	p.index(n)
+}
+
+// Reserve sets capacity aside for a plan.
+func (p *Pool) Reserve(n *Node, r state.Resources) {
+	n.Pending = n.Pending.Add(r)
+	p.reindex(n)
+}
+
+// Release returns the capacity of a settled plan.
+func (p *Pool) Release(n *Node, r state.Resources) {
+	n.Pending = n.Pending.Sub(r)
+	p.reindex(n)
+}
+
+// Hold keeps capacity free for the holder of a reservation.
+func (p *Pool) Hold(n *Node, r state.Resources) {
+	n.Held = n.Held.Add(r)
+	p.reindex(n)
+}
+
+// Possible returns how many tasks of the given size the known endpoints could run
+// at once if they were empty, up to limit.
+func (p *Pool) Possible(perTask state.Resources, limit int) int {
+	total := 0
+	for size, n := range p.sizes {
+		total += min(limit, count(size, perTask)) * n
+		if total >= limit {
+			return limit
+		}
+	}
+	return total
+}
+
+func (p *Pool) forgetSize(size state.Resources) {
+	p.sizes[size]--
+	if p.sizes[size] == 0 {
+		delete(p.sizes, size)
+	}
+}
+
+func (p *Pool) primary(r state.Resources) int {
+	if p.kind == state.KindRunner {
+		return r.Slots
+	}
+	if r.MilliCores < 0 {
+		return -1
+	}
+	return r.MilliCores / milliCoresPerLevel
+}
+
+func (p *Pool) index(n *Node) {
+	n.tier = TierOf(n.Speed)
+	if n.Endpoint.Status != state.EndpointReady {
+		return
+	}
+	n.indexed = true
+	p.capacity = p.capacity.Add(n.Endpoint.Capacity)
+	p.insert(n)
+	p.joinRack(n)
+}
+
+func (p *Pool) unindex(n *Node) {
+	if !n.indexed {
+		return
+	}
+	n.indexed = false
+	p.capacity = p.capacity.Sub(n.Endpoint.Capacity)
+	p.delete(n)
+	p.leaveRack(n)
+}
+
+func (p *Pool) reindex(n *Node) {
+	if !n.indexed {
+		return
+	}
+	p.delete(n)
+	p.insert(n)
+	p.updateRack(n.rack)
+}
+
+func (p *Pool) insert(n *Node) {
+	free := n.Available()
+	n.counted = free
+	p.free = p.free.Add(free)
+	n.level = min(levels-1, p.primary(free))
+	if n.level < 0 {
+		return
+	}
+	n.secondary = int64(free.MemoryMB)
+	if p.kind == state.KindRunner {
+		n.secondary = int64(n.Speed * 1000)
+	}
+	s := &p.tiers[n.tier]
+	t := s.trees[n.level]
+	if t == nil {
+		t = btree.NewG(treeDegree, nodeLess)
+		s.trees[n.level] = t
+	}
+	t.ReplaceOrInsert(n)
+	s.used[n.level/64] |= 1 << (n.level % 64)
+}
+
+func (p *Pool) delete(n *Node) {
+	p.free = p.free.Sub(n.counted)
+	if n.level < 0 {
+		return
+	}
+	s := &p.tiers[n.tier]
+	t := s.trees[n.level]
+	t.Delete(n)
+	if t.Len() == 0 {
+		s.used[n.level/64] &^= 1 << (n.level % 64)
+	}
+}
+
+// above returns the lowest used level that is at least from, or -1.
+func (s *shelf) above(from int) int {
+	for w := from / 64; w < len(s.used); w++ {
+		m := s.used[w]
+		if w == from/64 {
+			m &= ^uint64(0) << (from % 64)
+		}
+		if m != 0 {
+			return w*64 + bits.TrailingZeros64(m)
+		}
+	}
+	return -1
+}
+
+// below returns the highest used level that is at most from, or -1.
+func (s *shelf) below(from int) int {
+	for w := from / 64; w >= 0; w-- {
+		m := s.used[w]
+		if w == from/64 {
+			m &= ^uint64(0) >> (63 - from%64)
+		}
+		if m != 0 {
+			return w*64 + 63 - bits.LeadingZeros64(m)
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/coordination/queue/item.go
@@ -0,0 +1,130 @@
+// Package queue orders waiting tasks. A Queue holds the tasks of one class in
+// lanes: the tasks of a lane have the same team, kind and size, so that a lane that
+// cannot be served now is passed over as a whole. Lanes of equal size form a group,
+// which waits for capacity as a unit. The cost of each operation is logarithmic in
+// the number of tasks, lanes or groups.
+package queue
+
+import (
+	"github.com/google/btree"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// degree of the B-trees. Most lanes are short, so small nodes save memory.
+const degree = 8
+
+// Item is a waiting task.
+type Item struct {
+	Key  state.Key
+	Task int   // index of the task, or AllTasks
+	Due  int64 // Unix milliseconds; earlier is served first within a lane
+	Cost int64 // expected use of capacity, milliseconds
+
+	lane *Lane
+	seq  uint64
+}
+
+// AllTasks as Item.Task stands for all queued tasks of a gang.
+const AllTasks = -1
+
+// Lane returns the lane in which the item waits, or nil.
+func (it *Item) Lane() *Lane { return it.lane }
+
+func itemLess(a, b *Item) bool {
+	if a.Due != b.Due {
+		return a.Due < b.Due
+	}
+	return a.seq < b.seq
+}
+
+// LaneKey names a lane.
+type LaneKey struct {
+	Team       string
+	Kind       string
+	PerTask    state.Resources
+	Repeatable bool
+}
+
+// Lane holds items that are equal to the placement and to the quota.
+type Lane struct {
+	LaneKey
+	Reason string // why the lane was parked
+
+	id      uint64
+	group   *Group
+	account *account
+	items   *btree.BTreeG[*Item]
+	tier    uint8
+	parked  bool
+	listed  bool
+	rank    rank
+}
+
+// Group returns the lanes of the same size.
+func (l *Lane) Group() *Group { return l.group }
+
+// Head returns the item that is due first.
+func (l *Lane) Head() *Item {
+	it, _ := l.items.Min()
+	return it
+}
+
+// Last returns the item that is due last.
+func (l *Lane) Last() *Item {
+	it, _ := l.items.Max()
+	return it
+}
+
+// Len returns the number of items.
+func (l *Lane) Len() int { return l.items.Len() }
+
+// Borrows reports whether the lane has used up its team's share and is served
+// after the lanes that have not.
+func (l *Lane) Borrows() bool { return l.tier > 0 }
+
+// Parked reports whether the lane is set aside until Unpark.
+func (l *Lane) Parked() bool { return l.parked }
+
+// Group is the set of lanes with the same size of a task.
+type Group struct {
+	PerTask state.Resources
+	Reason  string // why the group was blocked
+
+	lanes   *btree.BTreeG[*Lane]
+	members int // lanes that exist, listed or not
+	blocked bool
+	listed  bool
+	rank    rank
+}
+
+// Blocked reports whether the group is set aside until it is woken.
+func (g *Group) Blocked() bool { return g.blocked }
+
+// rank orders lanes, and groups by their first lane.
+type rank struct {
+	tier          uint8 // 1 for lanes that borrow
+	first, second int64
+	id            uint64
+}
+
+func (a rank) less(b rank) bool {
+	if a.tier != b.tier {
+		return a.tier < b.tier
+	}
+	if a.first != b.first {
+		return a.first < b.first
+	}
+	if a.second != b.second {
+		return a.second < b.second
+	}
+	return a.id < b.id
+}
+
+// account is the service that a team has received in a queue.
+type account struct {
+	virtual int64 // start-time fair queueing: service divided by weight
+	weight  int64
+	waiting int
+	lanes   []*Lane
+}
--- /dev/null
+++ b/coordination/scheduling/defaults.go
@@ -0,0 +1,188 @@
+package scheduling
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// averages is the default Estimator: moving averages of run time for each team and
+// kind, and of the ratio of expected to observed run time for each endpoint.
+type averages struct {
+	kinds  map[kindKey]*kindAverage
+	speeds map[string]float64
+}
+
+type kindKey struct{ team, kind string }
+
+type kindAverage struct {
+	n      int
+	run    float64 // milliseconds at speed 1
+	spread float64 // mean absolute deviation of the logarithm from the prediction
+}
+
+const (
+	averageWeight   = 0.1  // of a new observation, about the last 20 count
+	defaultRunMS    = 1000 // for a kind that declares nothing
+	declaredMargin  = 10   // declared run times are wrong by up to ten times
+	learnedAfter    = 5    // observations before the average replaces the declaration
+	minSpeed        = 0.01 // keeps divisions by the speed bounded
+	spreadAllowance = 3    // deviations between the expected and the upper run time
+)
+
+func newAverages() *averages {
+	return &averages{kinds: map[kindKey]*kindAverage{}, speeds: map[string]float64{}}
+}
+
+func (a *averages) Estimate(r *state.Request) Estimate {
+	k := a.kinds[kindKey{r.Team, r.Kind}]
+	if k == nil || k.n < learnedAfter {
+		declared := r.EstimateMS
+		if declared == 0 {
+			declared = defaultRunMS
+		}
+		return Estimate{RunMS: declared, UpperMS: declared * declaredMargin}
+	}
+	return Estimate{
+		RunMS:       int64(k.run),
+		UpperMS:     int64(k.run * math.Exp(spreadAllowance*k.spread)),
+		Reliability: math.Exp(-k.spread),
+	}
+}
+
+func (a *averages) Speed(endpoint string) float64 {
+	if s, ok := a.speeds[endpoint]; ok {
+		return s
+	}
+	return 1
+}
+
+func (a *averages) Observe(_ Clock, o Observation) {
+	if o.Status != state.TaskDone || o.RunMS <= 0 || o.Record.Class == state.ClassService {
+		return
+	}
+	speed := a.Speed(o.Endpoint)
+	key := kindKey{o.Record.Team, o.Record.Kind}
+	k := a.kinds[key]
+	if k == nil {
+		k = &kindAverage{run: float64(o.RunMS) * speed, spread: 1}
+		a.kinds[key] = k
+	}
+	ratio := math.Log(float64(o.RunMS) * speed / k.run)
+	k.n++
+	k.spread += averageWeight * (math.Abs(ratio) - k.spread)
+	k.run *= math.Exp(averageWeight * ratio)
+	if k.n > learnedAfter {
+		a.speeds[o.Endpoint] = max(minSpeed, speed*math.Exp(-averageWeight*ratio))
+	}
+}
+
+// boundedWait is the default Admitter. It refuses work whose expected wait exceeds
+// the bound of its class or its deadline.
+type boundedWait struct{}
+
+func (boundedWait) Admit(c Clock, r *state.Request, e Estimate, l Load) Verdict {
+	wait := l.WaitMS()
+	if l.BoundMS > 0 && wait > l.BoundMS {
+		return Verdict{Reason: fmt.Sprintf("%s work would wait %d ms, the limit is %d ms", r.Class, wait, l.BoundMS), RetryAfterMS: wait - l.BoundMS}
+	}
+	if late := c.WallMS + wait + e.RunMS - r.DeadlineMS; r.DeadlineMS > 0 && wait > 0 && late > 0 {
+		return Verdict{Reason: fmt.Sprintf("would finish %d ms after its deadline", late), RetryAfterMS: max(1, min(wait, late))}
+	}
+	return Verdict{Admit: true}
+}
+
+// fixedDelay is the default RetryPolicy.
+type fixedDelay struct{}
+
+// retryDelayMS lets an endpoint that has just failed recover or be quarantined.
+const retryDelayMS = 1000
+
+func (fixedDelay) Advise(c Clock, o Observation, endpointBad bool) FailureAdvice {
+	a := FailureAdvice{EndpointBad: endpointBad}
+	switch {
+	case o.Status == state.TaskNotRun:
+		a.Requeue = true
+	case o.Status == state.TaskFailed && o.Record.Repeatable:
+		a.Requeue = endpointBad || o.Record.State[o.Task].Failures < o.Record.Retries
+	}
+	if a.Requeue {
+		a.NotBeforeMS = c.WallMS + retryDelayMS
+	}
+	return a
+}
+
+// failureRuns is the default HealthTracker: an endpoint on which several different
+// jobs have failed in a row is quarantined until a trial task succeeds.
+type failureRuns struct {
+	endpoints map[string]*failureRun
+	changes   []Transition
+}
+
+type failureRun struct {
+	failed      map[state.Key]bool // jobs that failed since the last success
+	quarantined bool
+	trialAt     time.Duration
+	interval    time.Duration
+}
+
+const (
+	failuresInRow    = 3 // different jobs, so that one bad job does not suffice
+	firstTrial       = 10 * time.Second
+	longestTrialWait = 10 * time.Minute
+)
+
+func newFailureRuns() *failureRuns { return &failureRuns{endpoints: map[string]*failureRun{}} }
+
+func (f *failureRuns) Observe(c Clock, o Observation) bool {
+	e := f.endpoints[o.Endpoint]
+	switch o.Status {
+	case state.TaskDone:
+		if e != nil {
+			if e.quarantined {
+				f.changes = append(f.changes, Transition{o.Endpoint, state.EndpointReady})
+			}
+			delete(f.endpoints, o.Endpoint)
+		}
+		return false
+	case state.TaskFailed:
+	default:
+		return false
+	}
+	if e == nil {
+		e = &failureRun{failed: map[state.Key]bool{}, interval: firstTrial}
+		f.endpoints[o.Endpoint] = e
+	}
+	e.failed[o.Record.Key] = true
+	if len(e.failed) >= failuresInRow && !e.quarantined {
+		e.quarantined, e.trialAt = true, c.Now+e.interval
+		f.changes = append(f.changes, Transition{o.Endpoint, state.EndpointQuarantined})
+	}
+	return e.quarantined
+}
+
+func (f *failureRuns) Transitions(Clock) []Transition {
+	out := f.changes
+	f.changes = nil
+	return out
+}
+
+func (f *failureRuns) TrialAt(endpoint string) time.Duration {
+	if e := f.endpoints[endpoint]; e != nil {
+		return e.trialAt
+	}
+	return 0
+}
+
+func (f *failureRuns) TrialStarted(c Clock, endpoint string) {
+	e := f.endpoints[endpoint]
+	if e == nil {
+		// Quarantined before this scheduler's life.
+		e = &failureRun{failed: map[state.Key]bool{}, quarantined: true, interval: firstTrial}
+		f.endpoints[endpoint] = e
+	}
+	e.interval = min(longestTrialWait, 2*e.interval)
+	e.trialAt = c.Now + e.interval
+}
--- /dev/null
+++ b/coordination/scheduling/gang.go
@@ -0,0 +1,305 @@
+package scheduling
+
+import (
+	"github.com/primrosereach/primrosereach/coordination/placement"
+	"github.com/primrosereach/primrosereach/coordination/queue"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// reservationCheckMS is the interval at which a reservation is judged anew. It
+	// bounds the cost of the scan over the workers.
+	reservationCheckMS = 1000
+	// blockedBatchMS is how long a batch task may be passed over by smaller ones
+	// before capacity is reserved for it.
+	blockedBatchMS = 10_000
+	// gangTries bounds the gangs that one plan tries to place.
+	gangTries = 8
+)
+
+// gangState holds the one reservation of the domain. With a single holder, two
+// half-placed gangs cannot wait for each other.
+type gangState struct {
+	reservation *placement.Reservation
+	checkMS     int64 // time of the next check or attempt to reserve
+	freed       bool  // capacity was freed since blocked gangs were tried
+}
+
+func (g *gangState) next() (int64, bool) { return g.checkMS, g.reservation != nil }
+
+// useReservation starts the holder of the reservation if its capacity is free, and
+// gives the reservation up if it has become useless.
+func (s *planner) useReservation(b *batch) {
+	r := s.gangs.reservation
+	if r == nil {
+		return
+	}
+	j := s.jobs[r.Key]
+	t := s.reservedTask(j)
+	if t == nil || r.Broken() {
+		s.dropReservation()
+		return
+	}
+	if r.Ready() {
+		s.startReserved(b, r, j, t)
+		return
+	}
+	if b.clock.WallMS >= s.gangs.checkMS {
+		s.gangs.checkMS = b.clock.WallMS + reservationCheckMS
+		s.renewReservation(b.clock, j)
+	}
+}
+
+// reservedTask returns the waiting task for which the reservation was made.
+func (s *planner) reservedTask(j *job) *task {
+	if j == nil {
+		return nil
+	}
+	if j.gang != nil {
+		if j.gang.wait == queued {
+			return j.gang
+		}
+		return nil
+	}
+	for i := range j.tasks {
+		if j.tasks[i].wait == queued {
+			return &j.tasks[i]
+		}
+	}
+	return nil
+}
+
+// renewReservation moves the reservation if other workers would be free earlier.
+func (s *planner) renewReservation(c Clock, j *job) {
+	r := s.gangs.reservation
+	before := r.StartMS
+	r.Refresh(c.WallMS)
+	if r.StartMS <= before {
+		return
+	}
+	s.workers.Drop(r)
+	if other := s.workers.PlanReservation(r.Key, r.PerTask, tasksOf(j), c.WallMS); other != nil && other.StartMS < r.StartMS {
+		r = other
+	}
+	s.workers.Acquire(r)
+	s.gangs.reservation = r
+}
+
+func tasksOf(j *job) int {
+	if j.gang == nil {
+		return 1
+	}
+	return queuedTasks(j.rec)
+}
+
+func (s *planner) dropReservation() {
+	r := s.gangs.reservation
+	s.gangs.reservation = nil
+	s.workers.Drop(r)
+	for _, part := range r.Parts {
+		s.capacityFreed(s.workers, part.Node)
+	}
+}
+
+func (s *planner) startReserved(b *batch, r *placement.Reservation, j *job, t *task) {
+	n := tasksOf(j)
+	own, ok := s.gangQuota(j, n)
+	if !ok {
+		return
+	}
+	nodes := make([]*placement.Node, 0, n)
+	for _, part := range r.Parts {
+		for i := 0; i < part.Tasks; i++ {
+			nodes = append(nodes, part.Node)
+		}
+	}
+	if len(nodes) < n {
+		s.dropReservation()
+		return
+	}
+	s.gangs.reservation = nil
+	s.workers.Drop(r)
+	s.startTogether(b, j, t, nodes, own)
+}
+
+// startTogether plans all queued tasks of the job in one Assign, the first own of
+// them on the team's share.
+func (s *planner) startTogether(b *batch, j *job, t *task, nodes []*placement.Node, own int) {
+	s.queues[t.band].Take(&t.item, int64(len(nodes)))
+	t.wait = planned
+	a := b.assign(j)
+	if t.item.Task >= 0 {
+		s.reserve(a, j, t.item.Task, s.workers, nodes[0], own == 0)
+	} else {
+		next := 0
+		for i := range j.rec.State {
+			if j.rec.State[i].Status == state.TaskQueued {
+				s.reserve(a, j, i, s.workers, nodes[next], next >= own)
+				next++
+			}
+		}
+	}
+	b.left -= len(nodes)
+	s.releaseQuotaHold(j)
+}
+
+// gangQuota returns how many of n tasks run on the team's share; the others borrow.
+func (s *planner) gangQuota(j *job, n int) (own int, ok bool) {
+	r := &j.rec.Request
+	holder := j.held || !s.anyHold(r.Team)
+	if s.ledger.owns(r.Team, r.PerTask.Scale(n), holder) {
+		return n, true
+	}
+	if !r.Repeatable {
+		return 0, false
+	}
+	for own < n && s.ledger.owns(r.Team, r.PerTask.Scale(own+1), holder) {
+		own++
+	}
+	// The part on the team's own share does not change what the others have idle.
+	return own, s.ledger.lends(r.Team, r.PerTask.Scale(n-own))
+}
+
+func (s *planner) anyHold(team string) bool {
+	return s.ledger.team(team).held != state.Resources{}
+}
+
+// holdQuota keeps the team's smaller work from using up the quota that the gang
+// waits for. One gang of a team holds quota at a time.
+func (s *planner) holdQuota(j *job) {
+	t := s.ledger.team(j.rec.Team)
+	if j.held || s.anyHold(j.rec.Team) {
+		return
+	}
+	j.held = true
+	t.held = j.rec.PerTask.Scale(queuedTasks(j.rec))
+}
+
+func (s *planner) releaseQuotaHold(j *job) {
+	if !j.held {
+		return
+	}
+	j.held = false
+	t := s.ledger.team(j.rec.Team)
+	t.held = state.Resources{}
+	t.limited = true
+	s.quotaFreed(j.rec.Team)
+}
+
+// planGangs starts the gangs that fit now and reserves capacity for the first one
+// that does not.
+func (s *planner) planGangs(b *batch) {
+	q := s.queues[bandGang]
+	if s.gangs.freed {
+		s.gangs.freed = false
+		available := s.workers.Available()
+		q.Wake(func(total state.Resources) bool { return total.FitsIn(available) })
+	}
+	for tries := 0; tries < gangTries && b.left > 0; tries++ {
+		l := q.Best()
+		if l == nil {
+			return
+		}
+		j, t := s.taskOf(l.Head())
+		if !s.tryGang(b, q, l, j, t) && !l.Parked() {
+			q.Block(l.Group(), "not enough workers are free at the same time")
+		}
+	}
+}
+
+func (s *planner) tryGang(b *batch, q *queue.Queue, l *queue.Lane, j *job, t *task) bool {
+	if r := s.gangs.reservation; r != nil && r.Key == j.rec.Key {
+		return false // starts when its reservation is ready
+	}
+	n := queuedTasks(j.rec)
+	own, ok := s.gangQuota(j, n)
+	if !ok {
+		s.holdQuota(j)
+		s.ledger.team(l.Team).limited = true
+		q.Park(l, "the team's quota does not cover all tasks at once")
+		if l.Repeatable {
+			s.lenders = append(s.lenders, parkedLane{q, l})
+		}
+		return false
+	}
+	if nodes := s.placeAll(j, n); nodes != nil {
+		s.startTogether(b, j, t, nodes, own)
+		return true
+	}
+	if s.gangs.reservation == nil {
+		s.tryReserve(b.clock, j, n)
+	}
+	return false
+}
+
+// placeAll returns a node for each of n tasks, or nil if they do not all fit.
+func (s *planner) placeAll(j *job, n int) []*placement.Node {
+	need := j.rec.PerTask
+	if !need.Scale(n).FitsIn(s.workers.Available()) {
+		return nil
+	}
+	nodes := make([]*placement.Node, 0, n)
+	for len(nodes) < n {
+		node := s.workers.BestFit(need, gangTiers, avoids(nil), placement.TightFit{})
+		if node == nil {
+			break
+		}
+		s.workers.Reserve(node, need)
+		nodes = append(nodes, node)
+	}
+	for _, node := range nodes {
+		s.workers.Release(node, need)
+	}
+	if len(nodes) < n {
+		return nil
+	}
+	return nodes
+}
+
+// gangTiers leaves out stragglers: a gang is as slow as its slowest task.
+var gangTiers = []placement.Tier{placement.TierFast, placement.TierNormal, placement.TierSlow}
+
+func (s *planner) tryReserve(c Clock, j *job, n int) {
+	r := s.workers.PlanReservation(j.rec.Key, j.rec.PerTask, n, c.WallMS)
+	if r == nil {
+		return
+	}
+	s.workers.Acquire(r)
+	s.gangs.reservation = r
+	s.gangs.checkMS = c.WallMS + reservationCheckMS
+}
+
+// reserveForBlocked makes a reservation for the first gang that waits, or else for
+// the batch task that has been passed over longest.
+func (s *planner) reserveForBlocked(c Clock) {
+	if s.gangs.reservation != nil || c.WallMS < s.gangs.checkMS {
+		return
+	}
+	var first *queue.Item
+	earlier := func(l *queue.Lane) {
+		it := l.Head()
+		if j, _ := s.taskOf(it); it.Task >= 0 && c.WallMS-j.rec.AcceptedMS < blockedBatchMS {
+			return
+		}
+		if first == nil || it.Due < first.Due || it.Due == first.Due && before(it.Key, first.Key) {
+			first = it
+		}
+	}
+	s.queues[bandGang].ScanBlocked(earlier)
+	if first == nil {
+		s.queues[bandBatch].ScanBlocked(earlier)
+	}
+	if first == nil {
+		return
+	}
+	s.gangs.checkMS = c.WallMS + reservationCheckMS
+	j, _ := s.taskOf(first)
+	s.tryReserve(c, j, tasksOf(j))
+}
+
+func before(a, b state.Key) bool {
+	if a.Team != b.Team {
+		return a.Team < b.Team
+	}
+	return a.ID < b.ID
+}
--- /dev/null
+++ b/coordination/scheduling/limits.go
@@ -0,0 +1,185 @@
+package scheduling
+
+import (
+	"fmt"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// expiryRepeatMS is when an expiry is proposed again if it was not committed.
+const expiryRepeatMS = 5000
+
+// joiningRetryMS is the advice to callers while no endpoint is known.
+const joiningRetryMS = 10_000
+
+// Admit implements Scheduler.
+func (s *planner) Admit(c Clock, r *state.Request) Verdict {
+	s.start(c)
+	if v := s.admitQuota(r); !v.Admit {
+		return v
+	}
+	if reason := s.cannotRun(r); reason != "" && s.settled(c) {
+		v := Verdict{Reason: reason}
+		if s.poolOf(r.Class).Len() == 0 {
+			v.RetryAfterMS = joiningRetryMS
+		}
+		return v
+	}
+	return s.opt.Admitter.Admit(c, r, s.opt.Estimator.Estimate(r), s.load(r))
+}
+
+// admitQuota refuses what the quotas never allow.
+func (s *planner) admitQuota(r *state.Request) Verdict {
+	need := r.PerTask
+	if r.Class == state.ClassGang {
+		need = need.Scale(max(1, r.Tasks))
+	}
+	share := s.ledger.team(r.Team).share
+	if need.FitsIn(share) || r.Repeatable && need.FitsIn(s.ledger.total) {
+		return Verdict{Admit: true}
+	}
+	return Verdict{Reason: fmt.Sprintf("needs %s, the team's share in this domain is %s", describe(need), describe(share))}
+}
+
+// cannotRun returns why no known endpoints could run the request, or "".
+func (s *planner) cannotRun(r *state.Request) string {
+	p := s.poolOf(r.Class)
+	if r.Class == state.ClassGang {
+		n := max(1, r.Tasks)
+		if possible := p.Possible(r.PerTask, n); possible < n {
+			return fmt.Sprintf("needs %d tasks of %s at once, all known endpoints together have room for %d", n, describe(r.PerTask), possible)
+		}
+		return ""
+	}
+	if p.Possible(r.PerTask, 1) == 0 {
+		return fmt.Sprintf("asks for %s, more than any known endpoint has", describe(r.PerTask))
+	}
+	return ""
+}
+
+func describe(r state.Resources) string {
+	if r.MilliCores == 0 && r.MemoryMB == 0 && r.Accelerators == 0 {
+		return fmt.Sprintf("%d slots", r.Slots)
+	}
+	return fmt.Sprintf("%.1f cores, %d MB, %d accelerators", float64(r.MilliCores)/1000, r.MemoryMB, r.Accelerators)
+}
+
+// load describes the queue that the request would join.
+func (s *planner) load(r *state.Request) Load {
+	q := s.queues[bandOf(r.Class)]
+	l := Load{Waiting: q.Len(), WaitingMS: q.Cost(), Capacity: s.poolOf(r.Class).Possible(r.PerTask, 1<<20)}
+	switch r.Class {
+	case state.ClassUrgent:
+		l.BoundMS = urgentStartMS
+	case state.ClassInteractive:
+		l.BoundMS = interactiveWaitMS
+		urgent := s.queues[bandUrgent]
+		l.Waiting += urgent.Len()
+		l.WaitingMS += urgent.Cost()
+	case state.ClassDeferrable:
+		l.BoundMS = s.bound(r)
+		l.Capacity = s.deferrableSlots(true)
+		promoted := s.queues[bandPromoted]
+		l.Waiting += promoted.Len()
+		l.WaitingMS += promoted.Cost()
+	}
+	return l
+}
+
+// watchLimits notes when a waiting job is to be looked at by Expired: at its deadline
+// if its caller waits at the screen, or after a while if no endpoint can run it.
+func (s *planner) watchLimits(c Clock, j *job) {
+	r := &j.rec.Request
+	switch {
+	case j.checking:
+	case r.Class == state.ClassInteractive && r.DeadlineMS > 0:
+		j.checking = true
+		s.expiry.Set(r.Key, r.DeadlineMS)
+	case s.cannotRun(r) != "":
+		j.checking = true
+		s.expiry.Set(r.Key, c.WallMS+settlingTime.Milliseconds())
+	}
+}
+
+// Expired implements Scheduler. Work past its deadline is still run unless its
+// caller waits at the screen: a late batch is worth more than none.
+func (s *planner) Expired(c Clock) []*state.Expire {
+	s.start(c)
+	var out []*state.Expire
+	for {
+		k, ok := s.expiry.PopDue(c.WallMS)
+		if !ok {
+			return out
+		}
+		j := s.jobs[k]
+		if j == nil || !waits(j) {
+			continue
+		}
+		reason := s.cannotRun(&j.rec.Request)
+		if d := j.rec.DeadlineMS; reason == "" && d > 0 && d <= c.WallMS && j.rec.Class == state.ClassInteractive {
+			reason = "its deadline passed before it could start"
+		}
+		if reason == "" {
+			j.checking = false
+			continue
+		}
+		s.expiry.Set(k, c.WallMS+expiryRepeatMS)
+		out = append(out, &state.Expire{Key: k, AtMS: c.WallMS, Reason: reason})
+	}
+}
+
+// waits reports whether a task of the job is queued or delayed.
+func waits(j *job) bool {
+	if j.gang != nil {
+		return j.gang.wait == queued || j.gang.wait == delayed
+	}
+	for i := range j.tasks {
+		if w := j.tasks[i].wait; w == queued || w == delayed {
+			return true
+		}
+	}
+	return false
+}
+
+// WhyWaiting implements Scheduler.
+func (s *planner) WhyWaiting(k state.Key) string {
+	j := s.jobs[k]
+	if j == nil {
+		return "the request is not waiting"
+	}
+	if reason := s.cannotRun(&j.rec.Request); reason != "" {
+		return reason
+	}
+	if r := s.gangs.reservation; r != nil && r.Key == k {
+		return fmt.Sprintf("workers are being kept free for it, expected to be ready in %d s", max(0, r.StartMS-s.clock.WallMS)/1000)
+	}
+	t := j.gang
+	for i := 0; t == nil && i < len(j.tasks); i++ {
+		if j.tasks[i].wait != notWaiting {
+			t = &j.tasks[i]
+		}
+	}
+	if t == nil {
+		return "the request is not waiting"
+	}
+	return s.whyTask(t)
+}
+
+func (s *planner) whyTask(t *task) string {
+	switch t.wait {
+	case planned:
+		return "it is being started"
+	case delayed:
+		return "it is tried again after a delay"
+	case queued:
+		l := t.item.Lane()
+		switch {
+		case l.Parked():
+			return l.Reason
+		case l.Group().Blocked():
+			return l.Group().Reason
+		}
+		return "earlier work of its class is started first"
+	}
+	return "the request is not waiting"
+}
--- /dev/null
+++ b/coordination/scheduling/options.go
@@ -0,0 +1,85 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Estimate is what is expected of the run time of a task on an endpoint of speed 1.
+type Estimate struct {
+	RunMS       int64   // expected
+	UpperMS     int64   // exceeded rarely
+	Reliability float64 // 0 for a declared value only, towards 1 as predictions hold
+}
+
+// Estimator learns run times and endpoint speeds.
+type Estimator interface {
+	Estimate(r *state.Request) Estimate
+	Speed(endpoint string) float64 // 1 is typical
+	Observe(c Clock, o Observation)
+}
+
+// Load describes the queue that a request would join.
+type Load struct {
+	Waiting   int   // tasks of the class
+	WaitingMS int64 // sum of their expected run times
+	Capacity  int   // tasks of the request's size that its class may run at once
+	BoundMS   int64 // longest wait before the start that the class allows, 0 for none
+}
+
+// WaitMS returns the expected wait of a task that joins the end of the queue.
+func (l Load) WaitMS() int64 { return l.WaitingMS / int64(max(1, l.Capacity)) }
+
+// Admitter decides whether a request that could run should be accepted now.
+type Admitter interface {
+	Admit(c Clock, r *state.Request, e Estimate, l Load) Verdict
+}
+
+// RetryPolicy decides whether and when a failed task is tried again.
+type RetryPolicy interface {
+	Advise(c Clock, o Observation, endpointBad bool) FailureAdvice
+}
+
+// Transition is a change of endpoint status that evidence asks for.
+type Transition struct {
+	Endpoint string
+	Status   state.EndpointStatus // quarantined or ready
+}
+
+// HealthTracker finds endpoints that fail what they start.
+type HealthTracker interface {
+	// Observe returns whether a failure is the endpoint's.
+	Observe(c Clock, o Observation) (endpointBad bool)
+	// Transitions returns the changes since the last call.
+	Transitions(c Clock) []Transition
+	// TrialAt returns when a quarantined endpoint may get its next trial task.
+	TrialAt(endpoint string) time.Duration
+	// TrialStarted notes that a trial task was planned.
+	TrialStarted(c Clock, endpoint string)
+}
+
+// Options are the parts that New combines. A nil part is replaced by a simple
+// default.
+type Options struct {
+	Estimator Estimator
+	Admitter  Admitter
+	Retry     RetryPolicy
+	Health    HealthTracker
+}
+
+func (o Options) withDefaults() Options {
+	if o.Estimator == nil {
+		o.Estimator = newAverages()
+	}
+	if o.Admitter == nil {
+		o.Admitter = boundedWait{}
+	}
+	if o.Retry == nil {
+		o.Retry = fixedDelay{}
+	}
+	if o.Health == nil {
+		o.Health = newFailureRuns()
+	}
+	return o
+}
--- /dev/null
+++ b/coordination/scheduling/trials.go
@@ -0,0 +1,77 @@
+package scheduling
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/placement"
+	"github.com/primrosereach/primrosereach/coordination/queue"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// trialScan bounds the lanes in which a trial task is looked for.
+	trialScan = 16
+	// trialRepeatMS is when a trial is attempted again if no task was suitable.
+	trialRepeatMS = 1000
+)
+
+// Bands from which trial tasks are taken, the least harmed by a failure first.
+var (
+	runnerTrials = []band{bandDeferrable, bandPromoted, bandInteractive}
+	workerTrials = []band{bandBatch, bandService}
+)
+
+// trialMS returns the Unix time of the endpoint's next trial.
+func (s *planner) trialMS(endpoint string) int64 {
+	wait := s.opt.Health.TrialAt(endpoint) - s.clock.Now
+	return s.clock.WallMS + max(0, int64(wait/time.Millisecond))
+}
+
+// planTrials gives quarantined endpoints a trial task when one is due. Only
+// repeatable work is used, since it is likely to fail.
+func (s *planner) planTrials(b *batch) {
+	for b.left > 0 {
+		name, ok := s.trials.PopDue(b.clock.WallMS)
+		if !ok {
+			return
+		}
+		n := s.runners.Node(name)
+		bands, p := runnerTrials, s.runners
+		if n == nil {
+			n, bands, p = s.workers.Node(name), workerTrials, s.workers
+		}
+		if n == nil || n.Endpoint.Status != state.EndpointQuarantined {
+			continue
+		}
+		if n.Endpoint.Assigned > 0 || n.Pending != (state.Resources{}) || !s.tryTrial(b, p, n, bands) {
+			s.trials.Set(name, b.clock.WallMS+trialRepeatMS)
+			continue
+		}
+		s.opt.Health.TrialStarted(b.clock, name)
+		s.trials.Set(name, max(b.clock.WallMS+trialRepeatMS, s.trialMS(name)))
+	}
+}
+
+func (s *planner) tryTrial(b *batch, p *placement.Pool, n *placement.Node, bands []band) bool {
+	for _, bd := range bands {
+		var lane *queue.Lane
+		scanned := 0
+		s.queues[bd].Scan(func(l *queue.Lane) bool {
+			scanned++
+			if l.Repeatable && l.PerTask.FitsIn(n.Free()) && s.ledger.owns(l.Team, l.PerTask, false) {
+				lane = l
+			}
+			return lane == nil && scanned < trialScan
+		})
+		if lane == nil {
+			continue
+		}
+		j, t := s.taskOf(lane.Head())
+		if !avoids(j.rec.State[t.item.Task].FailedOn).Allows(n) {
+			continue
+		}
+		s.startTask(b, s.queues[bd], j, t, n, false)
+		return true
+	}
+	return false
+}
