coordination/estimate: first version of the API

Cause: the scheduler needs the policy of docs/design.md sections 5 and 8 as separate pure packages. Change: first version without tests, so that callers can build against it. Conclusion: the API may still change with the tests that follow.

--- /dev/null
+++ b/coordination/estimate/kind.go
@@ -0,0 +1,104 @@
+package estimate
+
+import "math"
+
+// priorOffsets are pseudo-observations around a declared run time, in natural
+// logarithms: 10^-0.8, 10^-0.4, 1, 10^0.4 and 10^0.8 times the declared value.
+// Declared values are off by up to ten times in either direction; if the logarithm
+// of the error is uniform over that range, these are its quantiles.
+var priorOffsets = [5]float64{-0.8 * math.Ln10, -0.4 * math.Ln10, 0, 0.4 * math.Ln10, 0.8 * math.Ln10}
+
+const (
+	// priorSamples is the number of observations after which the prior has no weight.
+	priorSamples = 24
+	// reliabilityDecay weights past predictions: the last 32 or so count.
+	reliabilityDecay = 31.0 / 32
+	// reliabilityPrior counts as that many wrong predictions, so that a few correct
+	// ones do not make a kind reliable.
+	reliabilityPrior = 4
+)
+
+// kindStats is what was learned of one (team, kind). All times are natural
+// logarithms of milliseconds on an endpoint of speed 1.
+type kindStats struct {
+	work     window // run times
+	declared window // ratio of the run time to the declared one
+	errors   window // ratio of the run time to the predicted P50
+	hits     float64
+	total    float64
+	last     uint64 // number of the latest observation
+}
+
+var noStats = *newKindStats()
+
+func newKindStats() *kindStats { return &kindStats{total: reliabilityPrior} }
+
+// usesDeclared reports whether scaling the declared value predicts better than
+// the run times alone. That is so when callers declare a size that differs from
+// request to request; 10% avoids switching on equal spreads.
+func (k *kindStats) usesDeclared(declaredMS int64) bool {
+	return declaredMS > 0 && k.declared.n >= minSamples && k.declared.spread() < 0.9*k.work.spread()
+}
+
+// model returns the window to take quantiles of, what to add to them, and the
+// centre and weight of the prior in the window's terms. ok is false if there is
+// neither a declared value nor an observation.
+func (k *kindStats) model(declaredMS int64) (w *window, base, centre, weight float64, ok bool) {
+	weight = max(0, 1-float64(k.work.n)/priorSamples)
+	if k.usesDeclared(declaredMS) {
+		weight = max(0, 1-float64(k.declared.n)/priorSamples)
+		return &k.declared, logMS(declaredMS), 0, weight, true
+	}
+	if declaredMS > 0 {
+		return &k.work, 0, logMS(declaredMS), weight, true
+	}
+	if k.work.n == 0 {
+		return nil, 0, 0, 0, false
+	}
+	return &k.work, 0, k.work.quantile(0.5), weight, true
+}
+
+func (k *kindStats) predict(declaredMS int64) Prediction {
+	w, base, centre, weight, ok := k.model(declaredMS)
+	if !ok {
+		return Prediction{}
+	}
+	return Prediction{
+		P50:         fromLogMS(base + w.mixedQuantile(0.5, centre, weight)),
+		P90:         fromLogMS(base + w.mixedQuantile(0.9, centre, weight)),
+		Reliability: k.hits / k.total,
+		Samples:     int(w.n),
+	}
+}
+
+// typical returns the logarithm of the median run time without a prior, if enough
+// runs were observed.
+func (k *kindStats) typical(declaredMS int64) (float64, bool) {
+	if k.work.n < minSamples {
+		return 0, false
+	}
+	if k.usesDeclared(declaredMS) {
+		return logMS(declaredMS) + k.declared.quantile(0.5), true
+	}
+	return k.work.quantile(0.5), true
+}
+
+// observe learns a run time, after it has judged the prediction for it.
+func (k *kindStats) observe(work float64, declaredMS int64) {
+	if w, base, centre, weight, ok := k.model(declaredMS); ok {
+		k.judge(work - base - w.mixedQuantile(0.5, centre, weight))
+	}
+	k.work.add(work)
+	if declaredMS > 0 {
+		k.declared.add(work - logMS(declaredMS))
+	}
+}
+
+func (k *kindStats) judge(err float64) {
+	k.errors.add(err)
+	k.hits *= reliabilityDecay
+	k.total = k.total*reliabilityDecay + 1
+	if math.Abs(err) <= math.Ln2 {
+		k.hits++
+	}
+}
