coordination/admission: first version of the API

Cause: the scheduler needs the policy of docs/design.md sections 5 and 8 as separate pure packages. Change: first version without tests, so that callers can build against it. Conclusion: the API may still change with the tests that follow.

--- /dev/null
+++ b/coordination/admission/admission.go
@@ -0,0 +1,172 @@
+// Package admission decides whether a new request is accepted. It is used by one
+// goroutine and reads no clock: every call carries the monotonic time and the
+// current load as plain numbers.
+package admission
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	Team, Kind string
+	Class      state.Class
+	Tasks      int           // at least 1
+	Run        time.Duration // learned run time of one task, 0 if unknown
+	Slack      time.Duration // from now to the deadline, 0 or less for no deadline
+}
+
+// Load is the load of one class.
+type Load struct {
+	Queued     int           // waiting tasks
+	QueuedWork time.Duration // sum of the learned run times of the waiting tasks
+	Running    int           // running tasks
+	Capacity   int           // tasks of the class that can run at once, with the running ones
+}
+
+// Loads holds the load of every class; one that is missing has no load.
+type Loads map[state.Class]Load
+
+// Decision is the answer to a request.
+type Decision struct {
+	Admit        bool
+	Borrowed     bool   // admitted above the team's own rate
+	Reason       string // of a refusal, one sentence for the caller
+	RetryAfterMS int64  // of a refusal: when it makes sense to try again, 0 for never
+}
+
+// Controller holds the rates and the observed speed of each class.
+type Controller struct {
+	classes map[state.Class]*class
+	rates   map[kindKey]*kindRate
+	// deferrableFrom is when deferrable work is admitted again after urgent work was
+	// refused for its deadline.
+	deferrableFrom time.Duration
+	refusals       uint64 // spreads the retry times of refusals
+}
+
+// New returns a controller without rates.
+func New() *Controller {
+	c := &Controller{classes: map[state.Class]*class{}, rates: map[kindKey]*kindRate{}}
+	for _, name := range state.Classes {
+		c.classes[name] = &class{limits: limitsOf(name)}
+	}
+	return c
+}
+
+// Decide answers a request and, if it is admitted, charges its team's rate. It
+// does not remember the request: the caller counts it in the next Loads.
+func (c *Controller) Decide(now time.Duration, r Request, loads Loads) Decision {
+	cl := c.classes[r.Class]
+	if cl == nil {
+		return c.refuse(0, "class %q is not known", r.Class)
+	}
+	for name, known := range c.classes {
+		known.drain.observeLoad(now, loads[name])
+	}
+	if r.Class == state.ClassDeferrable {
+		if wait := c.deferrableClosed(now, loads[state.ClassUrgent]); wait > 0 {
+			return c.refuse(wait, "deferrable work is not accepted while urgent work is waiting for capacity")
+		}
+	}
+	if d := c.checkQueue(now, cl, r, loads[r.Class]); !d.Admit {
+		return d
+	}
+	if d := c.checkDeadline(now, cl, r, loads[r.Class]); !d.Admit {
+		return d
+	}
+	return c.checkRate(now, cl, r, loads[r.Class])
+}
+
+// Completed tells that a task of a class ended. run is the learned run time with
+// which it was counted in Load.QueuedWork: the rate at which such work is completed
+// shows the real capacity, also when the estimates are wrong.
+func (c *Controller) Completed(now time.Duration, name state.Class, run time.Duration) {
+	if cl := c.classes[name]; cl != nil {
+		cl.drain.completed(now, run)
+	}
+}
+
+// deferrableClosed returns how long deferrable work is refused, 0 if it is
+// admitted. It is refused from the queue length at which urgent work may first be
+// refused, and after urgent work was refused for its deadline.
+func (c *Controller) deferrableClosed(now time.Duration, urgent Load) time.Duration {
+	cl := c.classes[state.ClassUrgent]
+	if cl.contended(now, urgent) {
+		return max(minRetry, cl.excess(now, urgent, contendedShare))
+	}
+	return max(0, c.deferrableFrom-now)
+}
+
+func (c *Controller) checkQueue(now time.Duration, cl *class, r Request, l Load) Decision {
+	// The tasks of the request itself are not counted: a request of many tasks is
+	// not at fault for the queue, and the configuration bounds its tasks.
+	if cl.share(now, l) >= 1 {
+		return c.refuse(max(minRetry, cl.excess(now, l, 1)),
+			"the queue of class %s is full with %d waiting tasks", r.Class, l.Queued)
+	}
+	return Decision{Admit: true}
+}
+
+// checkDeadline refuses what cannot finish in time. Without capacity the wait is
+// unknown, because endpoints may be joining, and only the run time is compared.
+func (c *Controller) checkDeadline(now time.Duration, cl *class, r Request, l Load) Decision {
+	if r.Slack <= 0 {
+		return Decision{Admit: true}
+	}
+	own := r.Run * time.Duration(rounds(r, l.Capacity))
+	if own > r.Slack {
+		return c.refuse(0, "the request runs for about %s and its deadline is in %s", round(own), round(r.Slack))
+	}
+	wait, known := cl.wait(now, l)
+	if !known || wait+own <= r.Slack {
+		return Decision{Admit: true}
+	}
+	d := c.refuse(wait+own-r.Slack, "the request would wait about %s and run for about %s, and its deadline is in %s",
+		round(wait), round(own), round(r.Slack))
+	if r.Class == state.ClassUrgent {
+		c.deferrableFrom = max(c.deferrableFrom, now+time.Duration(d.RetryAfterMS)*time.Millisecond)
+	}
+	return d
+}
+
+// rounds returns how many times the capacity is filled by the tasks of a request.
+// The tasks of a gang run together.
+func rounds(r Request, capacity int) int {
+	if r.Class == state.ClassGang || capacity <= 0 || r.Tasks <= capacity {
+		return 1
+	}
+	return (r.Tasks + capacity - 1) / capacity
+}
+
+const (
+	// minRetry and maxRetry bound the times after which callers try again: sooner
+	// adds load without news, later keeps callers away when the load has gone.
+	minRetry = 250 * time.Millisecond
+	maxRetry = 60 * time.Second
+	// retrySteps spreads the retry times of successive refusals over half as much
+	// again, so that callers refused together do not return together.
+	retrySteps = 16
+)
+
+// refuse builds a refusal. after 0 means that trying again is of no use.
+func (c *Controller) refuse(after time.Duration, format string, args ...any) Decision {
+	d := Decision{Reason: fmt.Sprintf(format, args...)}
+	if after > 0 {
+		after = max(minRetry, min(maxRetry, after))
+		after += after * time.Duration(c.refusals%retrySteps) / (2 * retrySteps)
+		c.refusals++
+		d.RetryAfterMS = after.Milliseconds()
+	}
+	return d
+}
+
+func round(d time.Duration) time.Duration {
+	if d > 10*time.Second {
+		return d.Round(time.Second)
+	}
+	return d.Round(10 * time.Millisecond)
+}
