coordination/retry: first version of the API

Cause: the scheduler needs the policy of docs/design.md sections 5 and 8 as separate pure packages. Change: first version without tests, so that callers can build against it. Conclusion: the API may still change with the tests that follow.

--- /dev/null
+++ b/coordination/retry/blame.go
@@ -0,0 +1,94 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// streakJobs is the number of different jobs that must fail in a row on an
+	// endpoint, without a success between them, before it is at fault.
+	streakJobs = 3
+	// evidenceAge is how long a success elsewhere excuses a failure. An older one may
+	// date from before a change that broke the kind everywhere.
+	evidenceAge = 10 * time.Minute
+)
+
+type kindKey struct{ team, kind string }
+
+// evidence holds what is needed to blame an endpoint: which jobs failed there in a
+// row, and where each kind last succeeded.
+type evidence struct {
+	endpoints map[string]*endpointEvidence
+	kinds     map[kindKey]*kindEvidence
+}
+
+type endpointEvidence struct {
+	jobs [streakJobs]state.Key // different jobs that failed in a row
+	n    int
+}
+
+// kindEvidence holds the latest successes on two different endpoints, so that one
+// of them is elsewhere whatever endpoint is in question.
+type kindEvidence struct {
+	endpoint [2]string
+	at       [2]time.Duration
+}
+
+func newEvidence() evidence {
+	return evidence{endpoints: map[string]*endpointEvidence{}, kinds: map[kindKey]*kindEvidence{}}
+}
+
+func (v *evidence) succeeded(now time.Duration, kind kindKey, endpoint string) {
+	delete(v.endpoints, endpoint)
+	k := v.kinds[kind]
+	if k == nil {
+		k = &kindEvidence{}
+		v.kinds[kind] = k
+	}
+	if k.endpoint[0] != endpoint {
+		k.endpoint[1], k.at[1] = k.endpoint[0], k.at[0]
+		k.endpoint[0] = endpoint
+	}
+	k.at[0] = now
+}
+
+// failed records a failed attempt and reports whether its endpoint is at fault.
+func (v *evidence) failed(now time.Duration, a Attempt) bool {
+	e := v.endpoints[a.Endpoint]
+	if e == nil {
+		e = &endpointEvidence{}
+		v.endpoints[a.Endpoint] = e
+	}
+	e.add(a.Key)
+	if a.Trial {
+		return true
+	}
+	return e.n == streakJobs && v.succeedsElsewhere(now, kindKey{a.Key.Team, a.Kind}, a.Endpoint)
+}
+
+func (e *endpointEvidence) add(job state.Key) {
+	for _, k := range e.jobs[:e.n] {
+		if k == job {
+			return
+		}
+	}
+	if e.n < streakJobs {
+		e.jobs[e.n] = job
+		e.n++
+	}
+}
+
+func (v *evidence) succeedsElsewhere(now time.Duration, kind kindKey, endpoint string) bool {
+	k := v.kinds[kind]
+	if k == nil {
+		return false
+	}
+	for i, name := range k.endpoint {
+		if name != "" && name != endpoint && now-k.at[i] < evidenceAge {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/retry/budget.go
@@ -0,0 +1,79 @@
+package retry
+
+import "time"
+
+// Retries may add a tenth to the load of first attempts: failures of everything at
+// once then raise the load by at most that. The minimum rates let a team with
+// little traffic retry at all. The rates of all teams together may exceed that of
+// the system, which then decides.
+const (
+	earnPerStart   = 0.1
+	teamMinRate    = 0.1 // retries per second
+	teamCapacity   = 10  // retries at once
+	systemMinRate  = 2   // retries per second
+	systemCapacity = 100 // retries at once
+	// maxBudgetWait bounds how far ahead retries are promised. Beyond it the job
+	// fails, because a retry that late is rarely of use to the caller.
+	maxBudgetWait = 10 * time.Minute
+)
+
+// bucket holds retry tokens. It may be overdrawn: the retry then waits until the
+// minimum rate has paid for it, so accepted work is delayed and not dropped.
+type bucket struct {
+	tokens float64
+	at     time.Duration // of the latest refill
+}
+
+func (b *bucket) refill(now time.Duration, rate, capacity float64) {
+	if now > b.at {
+		b.tokens = min(capacity, b.tokens+rate*(now-b.at).Seconds())
+		b.at = now
+	}
+}
+
+// wait returns how long a token taken now has to be waited for.
+func (b *bucket) wait(rate float64) time.Duration {
+	if b.tokens >= 1 {
+		return 0
+	}
+	return time.Duration((1 - b.tokens) / rate * float64(time.Second))
+}
+
+type budgets struct {
+	system bucket
+	teams  map[string]*bucket
+}
+
+func newBudgets() budgets {
+	return budgets{system: bucket{tokens: systemCapacity}, teams: map[string]*bucket{}}
+}
+
+func (b *budgets) refilled(now time.Duration, team string) *bucket {
+	t := b.teams[team]
+	if t == nil {
+		t = &bucket{tokens: teamCapacity, at: now}
+		b.teams[team] = t
+	}
+	t.refill(now, teamMinRate, teamCapacity)
+	b.system.refill(now, systemMinRate, systemCapacity)
+	return t
+}
+
+func (b *budgets) earn(now time.Duration, team string) {
+	t := b.refilled(now, team)
+	t.tokens = min(teamCapacity, t.tokens+earnPerStart)
+	b.system.tokens = min(systemCapacity, b.system.tokens+earnPerStart)
+}
+
+// spend takes a token of the team and of the system and returns how long the retry
+// must wait for them. ok is false, and nothing is taken, if that is too long.
+func (b *budgets) spend(now time.Duration, team string) (wait time.Duration, ok bool) {
+	t := b.refilled(now, team)
+	wait = max(t.wait(teamMinRate), b.system.wait(systemMinRate))
+	if wait > maxBudgetWait {
+		return 0, false
+	}
+	t.tokens--
+	b.system.tokens--
+	return wait, true
+}
