coordination/health: first version of the API

Cause: the scheduler needs the policy of docs/design.md sections 5 and 8 as separate pure packages. Change: first version without tests, so that callers can build against it. Conclusion: the API may still change with the tests that follow.

--- /dev/null
+++ b/coordination/health/quarantine.go
@@ -0,0 +1,137 @@
+package health
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// streak holds the different jobs that failed in a row on an endpoint.
+type streak struct {
+	jobs [QuarantineAfter]state.Key
+	n    int
+}
+
+// add notes a failed job and reports whether enough different ones have failed.
+// One job that fails again and again counts once.
+func (s *streak) add(job state.Key) bool {
+	for _, k := range s.jobs[:s.n] {
+		if k == job {
+			return false
+		}
+	}
+	if s.n < len(s.jobs) {
+		s.jobs[s.n] = job
+		s.n++
+	}
+	return s.n == len(s.jobs)
+}
+
+// Failed tells that an attempt failed on an endpoint. Attempts that were cancelled
+// or that the endpoint declined must not be reported.
+func (t *Tracker) Failed(now time.Duration, name string, job state.Key) {
+	e := t.endpoints[name]
+	if e == nil {
+		return
+	}
+	if !e.failures.add(job) || e.quarantined || e.silence == lost {
+		return
+	}
+	if p := t.population(e.kind); p.quarantined < p.limit() {
+		t.quarantine(now, e)
+	}
+}
+
+// Succeeded tells that an attempt completed on an endpoint, which ends a quarantine.
+func (t *Tracker) Succeeded(name string) {
+	e := t.endpoints[name]
+	if e == nil {
+		return
+	}
+	e.failures = streak{}
+	if e.quarantined {
+		t.release(e)
+	}
+}
+
+// TrialDue reports whether a quarantined endpoint should get one trial task. It
+// becomes true at a NextDeadline.
+func (t *Tracker) TrialDue(name string) bool {
+	e := t.endpoints[name]
+	return e != nil && e.trialDue && e.status() == state.EndpointQuarantined
+}
+
+// TrialStarted tells that a trial task was assigned. The next trial is due after
+// the interval even if this one never reports.
+func (t *Tracker) TrialStarted(now time.Duration, name string) {
+	e := t.endpoints[name]
+	if e == nil || !e.quarantined {
+		return
+	}
+	e.trialDue = false
+	t.scheduleTrial(now, e)
+}
+
+func (t *Tracker) scheduleTrial(now time.Duration, e *endpoint) {
+	if !e.flapping {
+		t.setTimer(e, now+e.interval)
+	}
+	e.interval = min(2*e.interval, MaxTrial)
+}
+
+// restartTrials gives a new incarnation its first trial early: the restart may
+// have repaired it.
+func (t *Tracker) restartTrials(now time.Duration, e *endpoint) {
+	if !e.quarantined {
+		return
+	}
+	e.interval, e.trialDue = FirstTrial, false
+	t.scheduleTrial(now, e)
+}
+
+func (t *Tracker) quarantine(now time.Duration, e *endpoint) {
+	t.population(e.kind).quarantined++
+	e.quarantined = true
+	e.interval, e.trialDue = FirstTrial, false
+	t.scheduleTrial(now, e)
+	t.touch(e)
+}
+
+func (t *Tracker) release(e *endpoint) {
+	if e.silence != lost {
+		t.population(e.kind).quarantined--
+	}
+	e.quarantined, e.trialDue = false, false
+	e.failures = streak{}
+	if !e.flapping {
+		t.stopTimer(e)
+	}
+	t.touch(e)
+}
+
+// enforceLimits releases endpoints when the loss of others has made the excluded
+// share too large. The limit is not checked while endpoints are restored, because
+// the population is not complete then.
+func (t *Tracker) enforceLimits() {
+	for _, kind := range [...]state.EndpointKind{state.KindRunner, state.KindWorker} {
+		p := t.population(kind)
+		for p.quarantined > p.limit() {
+			t.release(t.shortestQuarantine(kind))
+		}
+	}
+}
+
+// shortestQuarantine returns the quarantined endpoint with the shortest interval,
+// the one with the least evidence against it; names decide between equal ones.
+func (t *Tracker) shortestQuarantine(kind state.EndpointKind) *endpoint {
+	var found *endpoint
+	for _, e := range t.endpoints {
+		if e.kind != kind || !e.quarantined || e.silence == lost {
+			continue
+		}
+		if found == nil || e.interval < found.interval || e.interval == found.interval && e.name < found.name {
+			found = e
+		}
+	}
+	return found
+}
