--- a/protocol/strictjson/decode.go
+++ b/protocol/strictjson/decode.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -16,8 +18,9 @@
 
 // Decode fills the struct that dst points to. It supports strings, booleans,
 // integers, floats, slices, structs, pointers to these and types with
-// UnmarshalText. Field names come from json tags. Fields that were at fault keep
-// their previous value.
+// UnmarshalText. Field names come from json tags; the tag required:"true" demands
+// a field, enum:"a,b" lists the strings it may have, and min:"1" is the least
+// number, or the least length of a list. Fields that were at fault keep their previous value.
 func Decode(data []byte, dst any) (Present, Faults) {
 	d := decoder{present: Present{}}
 	n, err := parseTree(data)
@@ -138,9 +141,53 @@
 			d.faults.Add(at, "appears more than once")
 		default:
 			d.present[at] = true
+			before := len(d.faults)
 			d.value(at, m.node, v.Field(i))
+			if len(d.faults) == before {
+				d.limits(at, v.Type().Field(i).Tag, reflect.Indirect(v.Field(i)))
+			}
 		}
 	}
+	d.required(path, v.Type())
+}
+
+func (d *decoder) required(path string, t reflect.Type) {
+	for i := range t.NumField() {
+		tag := t.Field(i).Tag
+		if at := Join(path, nameOf(tag)); tag.Get("required") == "true" && !d.present[at] {
+			d.faults.Add(at, "required")
+		}
+	}
+}
+
+// limits checks the tags enum and min of a field that was decoded.
+func (d *decoder) limits(path string, tag reflect.StructTag, v reflect.Value) {
+	if enum := tag.Get("enum"); enum != "" && !slices.Contains(strings.Split(enum, ","), v.String()) {
+		d.faults.Add(path, fmt.Sprintf("%q is not one of %s", v.String(), strings.ReplaceAll(enum, ",", ", ")))
+	}
+	least, err := strconv.ParseFloat(tag.Get("min"), 64)
+	if err != nil {
+		return
+	}
+	switch number := numberOf(v); {
+	case number >= least:
+	case v.Kind() == reflect.Slice:
+		d.faults.Add(path, fmt.Sprintf("want at least %v entries, got %v", least, number))
+	default:
+		d.faults.Add(path, fmt.Sprintf("%v is less than %v", number, least))
+	}
+}
+
+// numberOf returns a number, or the length of a list.
+func numberOf(v reflect.Value) float64 {
+	switch {
+	case v.CanFloat():
+		return v.Float()
+	case v.CanInt():
+		return float64(v.Int())
+	default:
+		return float64(v.Len())
+	}
 }
 
 // fieldsOf returns the index of each field by its JSON name, and the names in
@@ -148,7 +195,7 @@
 func fieldsOf(t reflect.Type) (map[string]int, []string) {
 	fields, names := map[string]int{}, []string{}
 	for i := range t.NumField() {
-		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		name := nameOf(t.Field(i).Tag)
 		if name == "" || name == "-" {
 			continue
 		}
@@ -157,3 +204,8 @@
 	}
 	return fields, names
 }
+
+func nameOf(tag reflect.StructTag) string {
+	name, _, _ := strings.Cut(tag.Get("json"), ",")
+	return name
+}
