--- a/transport/cli/output.go
+++ b/transport/cli/output.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/primrosereach/primrosereach/coordination/derive"
 	"github.com/primrosereach/primrosereach/protocol"
 	"github.com/primrosereach/primrosereach/state"
 )
@@ -126,6 +127,29 @@
 	})
 }
 
+// explanation is the JSON form of a derive.Explanation.
+type explanation struct {
+	Team    string `json:"team"`
+	Work    string `json:"work,omitempty"`
+	Field   string `json:"field"`
+	Value   string `json:"value"`
+	Because string `json:"because"`
+}
+
+// Explanations writes the reasons of derived values.
+func (p Printer) Explanations(list []derive.Explanation) error {
+	out := make([]explanation, len(list))
+	for i, e := range list {
+		out[i] = explanation(e)
+	}
+	return p.Value(out, func(row func(...string)) {
+		row("TEAM", "WORK", "FIELD", "VALUE", "BECAUSE")
+		for _, e := range list {
+			row(e.Team, orDash(e.Work), e.Field, e.Value, e.Because)
+		}
+	})
+}
+
 // Raw writes a JSON object, as "field value" lines for its top level.
 func (p Printer) Raw(raw json.RawMessage) error {
 	var fields map[string]json.RawMessage
