--- a/protocol/access/access_test.go
+++ b/protocol/access/access_test.go
@@ -57,12 +57,12 @@
 }
 
 func TestFaultyTokenFilesAreListedAtOnce(t *testing.T) {
-	callers := `[{"token":"short","name":"x","team":"t"},{"token":"` + token("c") + `","name":"y"},{"tokn":1}]`
+	callers := `[{"token":"short","name":"x","team":"t"},{"token":"` + token("c") + `","name":"y"},{"tokn":1},{"token":"` + token("d") + `","name":"y","team":"t"},{"token":"` + token("d") + `","name":"z","team":"u"}]`
 	_, err := Load(testSettings(t, callers, `[]`))
 	if err == nil {
 		t.Fatal("accepted")
 	}
-	for _, want := range []string{"[0].token: want at least", "[1].team: required", "[2].tokn: unknown field", "lists no token"} {
+	for _, want := range []string{"[0].token: want at least", "[1].team: required", "[2].tokn: unknown field", `[4].token: the same as that of "y"`, "lists no token"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q is not in:\n%v", want, err)
 		}
