--- a/transport/cli/client.go
+++ b/transport/cli/client.go
@@ -67,7 +67,7 @@
 	step         string // for errors: what the call does
 	method, path string
 	query        url.Values
-	body, into   any           // JSON body, if not nil; target of a successful answer
+	body, into   any           // JSON body, if not nil; target of an answer, nil to ignore its body
 	wait         time.Duration // that the server was asked to wait
 	harmless     bool          // changes nothing, so that a lost answer leaves no doubt
 }
@@ -203,7 +203,9 @@
 	switch {
 	case isError:
 		return k.refused(server, &e.Error)
-	case status >= 200 && status < 300, status == http.StatusConflict:
+	case k.into == nil && isSuccess(status):
+		return attempt{answered: true}
+	case k.into != nil && (isSuccess(status) || status == http.StatusConflict):
 		if err := json.Unmarshal(answer, k.into); err != nil {
 			return attempt{err: errors.Wrapf(err, "answer of %s", server), doubt: !k.harmless}
 		}
@@ -213,6 +215,8 @@
 	}
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // refused sorts the error answers into those that end the call and those after
 // which another server may do better.
 func (k call) refused(server string, e *protocol.Error) attempt {
--- a/transport/cli/operations.go
+++ b/transport/cli/operations.go
@@ -42,8 +42,7 @@
 
 // Drain stops new work for an endpoint. What runs there finishes.
 func (c *Client) Drain(ctx context.Context, name string) error {
-	var ignored json.RawMessage
-	return c.do(ctx, call{step: "drain " + name, method: http.MethodPost, path: protocol.PathEndpoint + url.PathEscape(name) + "/drain", into: &ignored})
+	return c.do(ctx, call{step: "drain " + name, method: http.MethodPost, path: protocol.PathEndpoint + url.PathEscape(name) + "/drain"})
 }
 
 // Audit returns the audit records, oldest first.
