--- a/cmd/primrosereach/serve.go
+++ b/cmd/primrosereach/serve.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"crypto/tls"
 	"fmt"
 	"os"
@@ -12,13 +11,11 @@
 	"github.com/primrosereach/primrosereach/protocol/access"
 	"github.com/primrosereach/primrosereach/protocol/settings"
 	"github.com/primrosereach/primrosereach/transport/cli"
+	"github.com/primrosereach/primrosereach/transport/daemon"
 )
 
-// runDaemon runs an entry process until ctx ends. It is a stub until
-// transport/daemon exists.
-var runDaemon = func(context.Context, *settings.Settings) error {
-	return errors.New("serve: this build has no daemon")
-}
+// runDaemon runs an entry process until ctx ends. Tests replace it.
+var runDaemon = daemon.Run
 
 func (a *app) serveCommand() *cobra.Command {
 	var file string
--- /dev/null
+++ b/coordination/endpoints.go
@@ -0,0 +1,330 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// heartbeatInterval is the period of endpoint heartbeats: about 0.3 KB/s for each
+	// endpoint, against a budget of 4 KB/s.
+	heartbeatInterval = 2 * time.Second
+	// suspectAfter is three missed heartbeats.
+	suspectAfter = 3 * heartbeatInterval
+	// taskLease is how long an endpoint may work after the sending of a heartbeat that
+	// was answered.
+	taskLease = 10 * time.Second
+	// leaseMargin covers clock drift and the time that an endpoint needs to stop its
+	// tasks. Work is queued again only after lease and margin.
+	leaseMargin = time.Second
+	// startRetry is the delay before an unanswered start is sent again.
+	startRetry = 500 * time.Millisecond
+	// removeAfter is how long a lost endpoint is remembered, in milliseconds.
+	removeAfterMS = int64(retention / time.Millisecond)
+)
+
+func (n *Node) heartbeat(e Heartbeat) {
+	r := n.owner(DomainGroup(e.Domain), e.Token)
+	if r == nil {
+		return
+	}
+	known := r.domain.Endpoint(e.Endpoint.Name)
+	switch {
+	case known == nil && len(e.Running) > 0:
+		// Its reservations are not known, so new work could exceed its capacity.
+		n.reply(e.Token, Answer{Code: CodeConflict, Message: "an unknown endpoint with running tasks is not admitted: stop them or restart it"})
+	case known == nil || known.Incarnation != e.Endpoint.Incarnation:
+		n.announce(r, e)
+	default:
+		n.renewLease(r, e, known)
+	}
+}
+
+// announce adds an endpoint and answers its heartbeat once that is committed.
+func (n *Node) announce(r *replica, e Heartbeat) {
+	l := r.lead
+	if l.announcing[e.Endpoint.Name] == e.Endpoint.Incarnation {
+		n.reply(e.Token, unavailable("the announcement is being committed"))
+		return
+	}
+	l.announcing[e.Endpoint.Name] = e.Endpoint.Incarnation
+	ok := n.propose(r, state.Command{Announce: &state.Announce{AtMS: n.clock.WallMS, Endpoint: e.Endpoint}}, func(a state.Applied, committed bool) {
+		delete(l.announcing, e.Endpoint.Name)
+		if !committed || a.Rejected != nil {
+			n.reply(e.Token, unavailable("the announcement was not committed"))
+			return
+		}
+		n.log("info", "announce", e.Endpoint.Name, string(e.Endpoint.Kind)+" announced")
+		n.renewLease(r, e, a.Endpoint)
+	})
+	if !ok {
+		delete(l.announcing, e.Endpoint.Name)
+		n.reply(e.Token, unavailable("the log of "+r.group+" takes no entries now"))
+	}
+}
+
+// renewLease answers a heartbeat. The answer is a lease, so it is given only by a
+// leader that still has its own.
+func (n *Node) renewLease(r *replica, e Heartbeat, known *state.Endpoint) {
+	if r.lead == nil || !r.raft.HasLease(n.clock.Now) {
+		n.reply(e.Token, unavailable("the leader of "+r.group+" has no contact to a majority"))
+		return
+	}
+	r.lead.contact[known.Name] = n.clock.Now
+	n.reconcileStatus(r, e, known)
+	answer := Lease{
+		Term: r.lead.term, LeaseMS: taskLease.Milliseconds(), IntervalMS: heartbeatInterval.Milliseconds(),
+		LowWatermark: lowWatermark(r.domain, known), Stop: n.staleAttempts(r, e),
+		Assigner: n.publicAddress(n.self.Name),
+	}
+	n.reply(e.Token, Answer{Code: CodeOK, Lease: &answer})
+}
+
+// reconcileStatus follows what the endpoint says of itself. A drain by an operator
+// stays in force until the endpoint restarts.
+func (n *Node) reconcileStatus(r *replica, e Heartbeat, known *state.Endpoint) {
+	switch {
+	case e.Endpoint.Status == state.EndpointLeaving && known.Status != state.EndpointLeaving:
+		n.setEndpointStatus(r, known, state.EndpointLeaving, "")
+	case e.Endpoint.Status == state.EndpointReady && (known.Status == state.EndpointSuspect || known.Status == state.EndpointLost):
+		n.setEndpointStatus(r, known, state.EndpointReady, "")
+	}
+}
+
+// staleAttempts lists what an endpoint holds although the state does not, or
+// although it was cancelled.
+func (n *Node) staleAttempts(r *replica, e Heartbeat) []Running {
+	var out []Running
+	for _, run := range e.Running {
+		rec := r.domain.Record(run.Key)
+		current := false
+		if rec != nil && run.Task >= 0 && run.Task < len(rec.State) {
+			t := &rec.State[run.Task]
+			current = t.Attempt == run.Attempt && t.Endpoint == e.Endpoint.Name && t.Incarnation == e.Endpoint.Incarnation &&
+				(t.Status == state.TaskAssigned || t.Status == state.TaskUnknown)
+		}
+		if !current || rec.Cancel {
+			out = append(out, run)
+		}
+	}
+	return out
+}
+
+// lowWatermark returns the highest sequence number up to which every assignment of
+// the endpoint is settled. The endpoint forgets those and rejects late copies of
+// their starts.
+func lowWatermark(d *state.Domain, e *state.Endpoint) uint64 {
+	low := e.LastSeq
+	d.AssignedTo(e.Name, func(seq uint64, _ state.TaskRef) {
+		low = min(low, seq-1)
+	})
+	return low
+}
+
+func (n *Node) setEndpointStatus(r *replica, e *state.Endpoint, s state.EndpointStatus, actor string) {
+	cmd := state.Command{EndpointStatus: &state.SetEndpointStatus{
+		AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation, Status: s, Actor: actor,
+	}}
+	n.propose(r, cmd, func(a state.Applied, committed bool) {
+		if committed && a.Rejected == nil {
+			n.log("info", "endpoint status", e.Name, "endpoint is now "+string(s))
+		}
+	})
+}
+
+// sweepEndpoints finds silent endpoints and acts on evidence of bad ones.
+func (n *Node) sweepEndpoints(r *replica) {
+	l := r.lead
+	for _, e := range r.domain.Endpoints() {
+		at, ok := l.contact[e.Name]
+		if !ok {
+			at = l.since
+		}
+		silent := n.clock.Now - at
+		switch {
+		case e.Status == state.EndpointLost:
+			if n.clock.WallMS-e.Since > removeAfterMS {
+				n.propose(r, state.Command{EndpointRemoved: &state.RemoveEndpoint{AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation}}, nil)
+			}
+		case silent > taskLease+leaseMargin:
+			n.setEndpointStatus(r, e, state.EndpointLost, "")
+		case silent > suspectAfter && e.Status != state.EndpointSuspect && e.Status != state.EndpointLeaving:
+			n.setEndpointStatus(r, e, state.EndpointSuspect, "")
+		}
+	}
+	for _, s := range l.sched.EndpointTransitions(n.clock) {
+		n.propose(r, state.Command{EndpointStatus: s}, nil)
+	}
+}
+
+// taskReport ends an attempt. The endpoint keeps its report until it is
+// acknowledged, so a report that comes twice is acknowledged twice.
+func (n *Node) taskReport(e TaskReport) {
+	r := n.owner(DomainGroup(e.Domain), e.Token)
+	if r == nil {
+		return
+	}
+	if _, ok := currentTask(r.domain, &e.Report); !ok {
+		n.reply(e.Token, Answer{Code: CodeOK, Message: "the attempt is not the current one"})
+		return
+	}
+	n.endAttempt(r, e.Report, func(committed bool) {
+		if !committed {
+			n.reply(e.Token, unavailable("leadership of "+r.group+" changed"))
+			return
+		}
+		n.reply(e.Token, Answer{Code: CodeOK})
+	})
+}
+
+func currentTask(d *state.Domain, p *state.Report) (*state.Record, bool) {
+	rec := d.Record(p.Key)
+	if rec == nil || p.Task < 0 || p.Task >= len(rec.State) {
+		return nil, false
+	}
+	t := &rec.State[p.Task]
+	open := t.Status == state.TaskAssigned || t.Status == state.TaskUnknown
+	return rec, open && t.Attempt == p.Attempt && t.Endpoint == p.Endpoint && t.Incarnation == p.Incarnation
+}
+
+// endAttempt proposes a report together with the decision whether to try again.
+func (n *Node) endAttempt(r *replica, p state.Report, done func(committed bool)) {
+	rec := r.domain.Record(p.Key)
+	t := &rec.State[p.Task]
+	p.AtMS = n.clock.WallMS
+	if t.Status == state.TaskAssigned {
+		advice := r.lead.sched.Observe(n.clock, scheduling.Observation{
+			Record: rec, Task: p.Task, Endpoint: p.Endpoint, RunMS: n.clock.WallMS - t.AssignedMS, Status: p.Status,
+		})
+		switch p.Status {
+		case state.TaskFailed:
+			p.Requeue, p.EndpointBad, p.NotBeforeMS = advice.Requeue, advice.EndpointBad, advice.NotBeforeMS
+		case state.TaskNotRun, state.TaskCancelled:
+			p.Requeue = true // the state queues it again only if that is safe and nobody cancelled it
+		}
+	}
+	ok := n.propose(r, state.Command{Report: &p}, func(a state.Applied, committed bool) {
+		if r.lead != nil {
+			delete(r.lead.starts, p.TaskRef)
+		}
+		done(committed)
+	})
+	if !ok {
+		done(false)
+	}
+}
+
+// dispatch sends the start of an assigned task. It is called only for a committed
+// assignment.
+func (n *Node) dispatch(r *replica, rec *state.Record, task int) {
+	t := &rec.State[task]
+	e := r.domain.Endpoint(t.Endpoint)
+	if e == nil || e.Incarnation != t.Incarnation {
+		return
+	}
+	s := StartTask{
+		Group: r.group, Domain: r.domainName, Term: r.lead.term,
+		Ref:      state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
+		Endpoint: e.Name, Address: e.Address, Incarnation: e.Incarnation, Seq: t.Seq,
+		Kind: rec.Kind, Class: rec.Class, Repeatable: rec.Repeatable, PerTask: rec.PerTask, Payload: rec.Payload,
+	}
+	r.lead.starts[s.Ref] = &dispatch{start: s}
+	n.emit(s)
+}
+
+// resendStarts sends the starts whose endpoints could not be reached again, as
+// long as they are still wanted.
+func (n *Node) resendStarts(r *replica) {
+	for ref, d := range r.lead.starts {
+		rec := r.domain.Record(ref.Key)
+		if rec == nil || rec.State[ref.Task].Status != state.TaskAssigned || rec.State[ref.Task].Attempt != ref.Attempt {
+			delete(r.lead.starts, ref)
+			continue
+		}
+		if d.next == 0 || n.clock.Now < d.next || rec.Cancel {
+			continue
+		}
+		d.next = 0
+		d.start.Try++
+		n.emit(d.start)
+	}
+}
+
+func (n *Node) startAnswered(e StartAnswered) {
+	r := n.replicas[e.Start.Group]
+	if r == nil || r.lead == nil || r.lead.term != e.Start.Term {
+		return
+	}
+	switch e.Result {
+	case StartAccepted:
+		delete(r.lead.starts, e.Start.Ref)
+	case StartUnreachable:
+		if d := r.lead.starts[e.Start.Ref]; d != nil {
+			d.next = n.clock.Now + startRetry
+		}
+	case StartDeclined:
+		p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
+		delete(r.lead.starts, e.Start.Ref)
+		if _, ok := currentTask(r.domain, &p); ok {
+			n.endAttempt(r, p, func(bool) {})
+		}
+	}
+}
+
+// stopTask asks an endpoint to stop an attempt. Heartbeat answers repeat it until
+// the endpoint reports.
+func (n *Node) stopTask(r *replica, rec *state.Record, task int) {
+	t := &rec.State[task]
+	e := r.domain.Endpoint(t.Endpoint)
+	if e == nil {
+		return
+	}
+	n.emit(StopTask{
+		Group: r.group, Domain: r.domainName, Term: r.lead.term, Ref: state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
+		Endpoint: e.Name, Address: e.Address, Incarnation: t.Incarnation, Seq: t.Seq,
+	})
+}
+
+func (n *Node) listEndpoints(e ListEndpoints) {
+	r := n.owner(DomainGroup(e.Domain), e.Token)
+	if r == nil {
+		return
+	}
+	n.reply(e.Token, Answer{Code: CodeOK, Endpoints: r.domain.Endpoints(), Audit: r.domain.Audit()})
+}
+
+func (n *Node) drainEndpoint(e DrainEndpoint) {
+	r := n.owner(DomainGroup(e.Domain), e.Token)
+	if r == nil {
+		return
+	}
+	known := r.domain.Endpoint(e.Name)
+	if known == nil {
+		n.reply(e.Token, Answer{Code: CodeNotFound, Message: "no endpoint " + e.Name + " in " + e.Domain})
+		return
+	}
+	cmd := state.Command{EndpointStatus: &state.SetEndpointStatus{
+		AtMS: n.clock.WallMS, Name: known.Name, Incarnation: known.Incarnation, Status: state.EndpointLeaving, Actor: e.Actor,
+	}}
+	ok := n.propose(r, cmd, func(a state.Applied, committed bool) {
+		if !committed || a.Rejected != nil {
+			n.reply(e.Token, unavailable("the drain was not committed"))
+			return
+		}
+		n.reply(e.Token, Answer{Code: CodeOK, Endpoints: []*state.Endpoint{a.Endpoint}})
+	})
+	if !ok {
+		n.reply(e.Token, unavailable("the log of "+r.group+" takes no entries now"))
+	}
+}
+
+func (n *Node) publicAddress(name string) string {
+	for _, p := range n.cfg.Peers {
+		if p.Name == name {
+			return p.PublicAddress
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/coordination/leader.go
@@ -0,0 +1,242 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const (
+	// sweepInterval is the period of the checks that need no better precision:
+	// silent endpoints, expired requests, old records.
+	sweepInterval = 500 * time.Millisecond
+	// retention is how long a final record is kept.
+	retention = 7 * 24 * time.Hour
+	// forgetInterval and forgetBatch bound the work of one retention sweep.
+	forgetInterval = 10 * time.Minute
+	forgetBatch    = 1000
+)
+
+// leadership is what a leader knows beyond the replicated state. It is rebuilt
+// when a term begins.
+type leadership struct {
+	term       uint64
+	since      time.Duration
+	sched      scheduling.Scheduler // nil in the cell group
+	starts     map[state.TaskRef]*dispatch
+	contact    map[string]time.Duration // last heartbeat answered, by endpoint
+	announcing map[string]uint64        // incarnation whose Announce is in the log, by endpoint
+	waiters    map[state.Key][]Token    // calls that wait for a final record
+	waitingFor map[Token]state.Key
+	adopting   bool
+	nextSweep  time.Duration
+	nextForget time.Duration
+}
+
+// dispatch is a start that its endpoint has not acknowledged.
+type dispatch struct {
+	start StartTask
+	next  time.Duration // of the next try, 0 while one is under way
+}
+
+func (l *leadership) nextWake() time.Duration {
+	wake := l.nextSweep
+	if l.sched != nil {
+		wake = earlier(wake, l.sched.NextWake())
+	}
+	return wake
+}
+
+// watchLeadership starts or ends the work of a leader.
+func (n *Node) watchLeadership(r *replica) {
+	_, term := r.raft.Leader()
+	leads := r.raft.IsLeader() && r.appliedTerm == term && n.failed == nil
+	if r.lead != nil && (!leads || r.lead.term != term) {
+		n.resign(r)
+	}
+	if leads && r.lead == nil {
+		n.takeOver(r, term)
+	}
+	if !r.raft.IsLeader() && len(r.proposals) > 0 {
+		n.dropProposals(r)
+	}
+}
+
+// takeOver rebuilds the leader's view from the replicated state. Starts that were
+// not reported are sent again: the former leader may have died before it sent them,
+// and endpoints recognise duplicates.
+func (n *Node) takeOver(r *replica, term uint64) {
+	l := &leadership{
+		term: term, since: n.clock.Now,
+		starts: map[state.TaskRef]*dispatch{}, contact: map[string]time.Duration{},
+		announcing: map[string]uint64{}, waiters: map[state.Key][]Token{}, waitingFor: map[Token]state.Key{},
+		nextSweep: n.clock.Now + sweepInterval, nextForget: n.clock.Now + forgetInterval,
+	}
+	r.lead = l
+	n.log("info", "take over", "", "leads group "+r.group)
+	if r.domain == nil {
+		return
+	}
+	l.sched = n.cfg.NewScheduler()
+	l.sched.Configure(r.domain.Configuration().Configuration, r.domain.Shares())
+	for _, e := range r.domain.Endpoints() {
+		l.contact[e.Name] = n.clock.Now
+		l.sched.EndpointChanged(n.clock, e)
+	}
+	for _, rec := range r.domain.OpenRecords() {
+		l.sched.RecordChanged(n.clock, rec)
+		n.redispatch(r, rec)
+	}
+}
+
+// redispatch sends the starts of a record's assigned tasks, or their stops if it
+// was cancelled.
+func (n *Node) redispatch(r *replica, rec *state.Record) {
+	for i := range rec.State {
+		if t := &rec.State[i]; t.Status == state.TaskAssigned {
+			if rec.Cancel {
+				n.stopTask(r, rec, i)
+			} else {
+				n.dispatch(r, rec, i)
+			}
+		}
+	}
+}
+
+// resign ends the work of a leader. Waiting calls are sent elsewhere: the
+// successor has every accepted request.
+func (n *Node) resign(r *replica) {
+	l := r.lead
+	r.lead = nil
+	for token := range l.waitingFor {
+		n.reply(token, unavailable("leadership of "+r.group+" changed"))
+	}
+	n.dropProposals(r)
+	n.log("info", "resign", "", "no longer leads group "+r.group)
+}
+
+func (n *Node) dropProposals(r *replica) {
+	dropped := r.proposals
+	r.proposals = map[uint64]proposal{}
+	for _, p := range dropped {
+		p.done(state.Applied{}, false)
+	}
+}
+
+// leadStep does the leader's own work: plans, expiry, silent endpoints.
+func (n *Node) leadStep(r *replica) {
+	l := r.lead
+	if !r.raft.HasLease(n.clock.Now) {
+		return
+	}
+	if n.clock.Now >= l.nextSweep {
+		l.nextSweep = n.clock.Now + sweepInterval
+		n.sweep(r)
+	}
+	if r.domain == nil {
+		return
+	}
+	n.adoptConfiguration(r)
+	for _, plan := range l.sched.Plan(n.clock) {
+		n.proposePlan(r, plan)
+	}
+}
+
+func (n *Node) proposePlan(r *replica, plan *state.Assign) {
+	sched := r.lead.sched
+	ok := n.propose(r, state.Command{Assign: plan}, func(a state.Applied, committed bool) {
+		if committed && a.Rejected != nil {
+			n.log("debug", "assign", "", a.Rejected.Error())
+		}
+		sched.Settled(plan, committed && a.Rejected == nil)
+	})
+	if !ok {
+		sched.Settled(plan, false)
+	}
+}
+
+// sweep does the periodic checks of a leader.
+func (n *Node) sweep(r *replica) {
+	if n.stopping || r.domainName != "" && r.domainName != n.self.Domain {
+		// An outside member leads only while no member of the domain can: endpoints and
+		// callers are closer to those.
+		n.passLeadership(r)
+	}
+	if r.domain == nil {
+		return
+	}
+	n.sweepEndpoints(r)
+	n.resendStarts(r)
+	for _, x := range r.lead.sched.Expired(n.clock) {
+		n.propose(r, state.Command{Expire: x}, nil)
+	}
+	if n.clock.Now >= r.lead.nextForget {
+		r.lead.nextForget = n.clock.Now + forgetInterval
+		n.forgetOldRecords(r)
+	}
+}
+
+func (n *Node) forgetOldRecords(r *replica) {
+	before := n.clock.WallMS - retention.Milliseconds()
+	var old []state.Key
+	r.domain.Records(func(rec *state.Record) bool {
+		if rec.Final() && rec.FinalMS < before {
+			old = append(old, rec.Key)
+		}
+		return len(old) < forgetBatch
+	})
+	if len(old) > 0 {
+		n.propose(r, state.Command{Forget: &state.Forget{Keys: old}}, nil)
+	}
+}
+
+// leaderApplied tells the scheduler and waiting callers of an applied command.
+func (n *Node) leaderApplied(r *replica, cmd *state.Command, a state.Applied) {
+	l := r.lead
+	if r.domain == nil {
+		return
+	}
+	if cmd.Adopt != nil && a.Rejected == nil {
+		l.sched.Configure(r.domain.Configuration().Configuration, r.domain.Shares())
+	}
+	if cmd.EndpointRemoved != nil && a.Rejected == nil {
+		l.sched.EndpointRemoved(cmd.EndpointRemoved.Name)
+		delete(l.contact, cmd.EndpointRemoved.Name)
+	}
+	for _, rec := range a.Records {
+		l.sched.RecordChanged(n.clock, rec)
+		if rec.Final() {
+			n.answerWaiters(r, rec)
+		}
+	}
+	n.endpointsTouched(r, cmd, a)
+	for _, ref := range a.Assigned {
+		rec := r.domain.Record(ref.Key)
+		n.emit(Measure{Metric: MetricWait, Class: rec.Class, MS: n.clock.WallMS - rec.AcceptedMS})
+		n.dispatch(r, rec, ref.Task)
+	}
+	if cmd.Cancel != nil && a.Rejected == nil {
+		for _, rec := range a.Records {
+			n.redispatch(r, rec)
+		}
+	}
+}
+
+// endpointsTouched tells the scheduler of every endpoint whose reservation or
+// status a command changed.
+func (n *Node) endpointsTouched(r *replica, cmd *state.Command, a state.Applied) {
+	if a.Rejected != nil {
+		return
+	}
+	if a.Endpoint != nil {
+		r.lead.sched.EndpointChanged(n.clock, a.Endpoint)
+	}
+	if cmd.Assign != nil {
+		for i := range cmd.Assign.Items {
+			if e := r.domain.Endpoint(cmd.Assign.Items[i].Endpoint); e != nil {
+				r.lead.sched.EndpointChanged(n.clock, e)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coordination/node.go
@@ -0,0 +1,213 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/replication"
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Recovered is what a process found in its data folder for one group.
+type Recovered struct {
+	HardState state.HardState
+	Snapshot  *state.Snapshot // nil if there is none
+	Entries   []state.Entry   // after the snapshot
+}
+
+// Config is the input of New.
+type Config struct {
+	Self         state.Member
+	Peers        []Peer // all entry processes of the settings, this one included
+	Recovered    map[string]Recovered
+	Rand         replication.Rand
+	NewScheduler func() scheduling.Scheduler
+}
+
+// Node is the control state of one entry process. It is used by one goroutine.
+type Node struct {
+	cfg      Config
+	self     state.Member
+	domains  []string
+	clock    scheduling.Clock
+	replicas map[string]*replica
+	hosted   []*replica // the same, in the order of their creation
+	home     *replica   // of the process's own failure domain
+	cell     *replica
+	effects  []Effect
+	cellSeen time.Duration // last time at which the cell group had a leader
+	failed   error         // of the storage; nothing is acknowledged any more
+	stopping bool
+	nextPeer int // rotates over the members of groups that this process does not host
+}
+
+// New returns a node that hosts every group of which the process is a founder.
+func New(cfg Config, c scheduling.Clock) *Node {
+	n := &Node{cfg: cfg, self: cfg.Self, domains: Domains(cfg.Peers), clock: c, replicas: map[string]*replica{}}
+	for _, d := range n.domains {
+		n.host(DomainGroup(d))
+	}
+	n.host(CellGroup)
+	n.home = n.replicas[DomainGroup(n.self.Domain)]
+	n.cell = n.replicas[CellGroup]
+	return n
+}
+
+// Groups returns the names of the groups that the process founds or joins, for a
+// caller that has to open their logs before New.
+func Groups(self string, peers []Peer) []string {
+	var groups []string
+	names := append([]string{}, Domains(peers)...)
+	for i := range names {
+		names[i] = DomainGroup(names[i])
+	}
+	for _, g := range append(names, CellGroup) {
+		for _, f := range Founders(g, peers) {
+			if f == self {
+				groups = append(groups, g)
+			}
+		}
+	}
+	return groups
+}
+
+func (n *Node) host(group string) {
+	founders := Founders(group, n.cfg.Peers)
+	for _, f := range founders {
+		if f == n.self.Name {
+			r := n.newReplica(group, founders)
+			n.replicas[group] = r
+			n.hosted = append(n.hosted, r)
+			return
+		}
+	}
+}
+
+// Step performs one event at the time c and returns the effects to carry out.
+func (n *Node) Step(c scheduling.Clock, ev Event) []Effect {
+	n.clock = c
+	n.effects = nil
+	n.handle(ev)
+	for _, r := range n.hosted {
+		n.settle(r)
+	}
+	if leader, _ := n.cell.raft.Leader(); leader != "" {
+		n.cellSeen = c.Now
+	}
+	return n.effects
+}
+
+func (n *Node) handle(ev Event) {
+	switch e := ev.(type) {
+	case Tick:
+	case PeerMessage:
+		n.peerMessage(e)
+	case Persisted:
+		if r := n.replicas[e.Group]; r != nil {
+			r.raft.Persisted(e.Batch)
+		}
+	case SnapshotSaved:
+		if r := n.replicas[e.Group]; r != nil {
+			r.saving = false
+			r.raft.SnapshotTaken(e.Snapshot)
+		}
+	case StorageFailed:
+		n.failed = e.Err
+		n.log("error", e.Step, "", "storage failed, this process acknowledges nothing more: "+e.Err.Error())
+	case Submit:
+		n.submit(e)
+	case Lookup:
+		n.lookup(e)
+	case List:
+		n.list(e)
+	case CancelRequest:
+		n.cancel(e)
+	case CallerGone:
+		n.callerGone(e.Token)
+	case Heartbeat:
+		n.heartbeat(e)
+	case TaskReport:
+		n.taskReport(e)
+	case StartAnswered:
+		n.startAnswered(e)
+	case ConfigureCell:
+		n.configure(e)
+	case ReadCell:
+		n.readCell(e)
+	case ListEndpoints:
+		n.listEndpoints(e)
+	case DrainEndpoint:
+		n.drainEndpoint(e)
+	case ReadStatus:
+		n.emit(Reply{Token: e.Token, Answer: Answer{Code: CodeOK, Status: n.status()}})
+	case Shutdown:
+		n.shutdown()
+	}
+}
+
+// NextWake returns the monotonic time at which Step has to be called with a Tick
+// if no other event comes first.
+func (n *Node) NextWake() time.Duration {
+	wake := n.clock.Now + time.Second
+	for _, r := range n.hosted {
+		wake = earlier(wake, r.raft.NextTick())
+		if r.lead != nil {
+			wake = earlier(wake, r.lead.nextWake())
+		}
+	}
+	return wake
+}
+
+// earlier returns the earlier of two times; 0 means never.
+func earlier(a, b time.Duration) time.Duration {
+	if b == 0 || a != 0 && a < b {
+		return a
+	}
+	return b
+}
+
+func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+
+func (n *Node) reply(t Token, a Answer) {
+	if t != 0 {
+		n.emit(Reply{Token: t, Answer: a})
+	}
+}
+
+func (n *Node) log(level, step, peer, message string) {
+	n.emit(Log{Level: level, Step: step, Peer: peer, Message: message})
+}
+
+func (n *Node) peerMessage(e PeerMessage) {
+	r := n.replicas[e.Group]
+	if r == nil {
+		return
+	}
+	if err := r.raft.Step(n.clock.Now, e.Message); err != nil {
+		n.log("debug", "replication", e.Message.From, err.Error())
+	}
+}
+
+// shutdown passes leadership on. Submissions that arrive from now on are sent to
+// the new leaders.
+func (n *Node) shutdown() {
+	n.stopping = true
+	for _, r := range n.hosted {
+		if r.raft.IsLeader() {
+			n.passLeadership(r)
+		}
+	}
+}
+
+// passLeadership hands leadership to a caught-up member, preferably one of the
+// group's own domain. A process that goes on running gives it up for such a one
+// only.
+func (n *Node) passLeadership(r *replica) {
+	to := n.successor(r, r.domainName, n.stopping)
+	if to == "" {
+		return
+	}
+	if err := r.raft.TransferLeadership(n.clock.Now, to); err != nil {
+		n.log("debug", "transfer leadership", to, r.group+": "+err.Error())
+	}
+}
--- a/coordination/replication/status.go
+++ b/coordination/replication/status.go
@@ -41,6 +41,14 @@
 	Members    []MemberStatus // on a leader also the learners, with match and contact
 }
 
+// Membership returns the membership in force, empty if none is known.
+func (g *Group) Membership() state.Membership {
+	if m := g.membership(); m != nil {
+		return *m
+	}
+	return state.Membership{}
+}
+
 // Status returns the state of this replica at a time.
 func (g *Group) Status(now time.Duration) Status {
 	s := Status{
--- /dev/null
+++ b/coordination/status.go
@@ -0,0 +1,122 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/replication"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Metric names what a Measure effect measures.
+type Metric string
+
+// Metrics.
+const (
+	MetricWait    Metric = "wait"    // from acceptance to assignment
+	MetricTotal   Metric = "total"   // from acceptance to the final outcome
+	MetricRefused Metric = "refused" // one refusal
+)
+
+// Measure is an effect that reports one measurement.
+type Measure struct {
+	Metric  Metric
+	Class   state.Class
+	Outcome state.Outcome
+	MS      int64 // milliseconds, or a count for MetricRefused
+}
+
+func (Measure) effect() {}
+
+// Status is what a process knows of itself.
+type Status struct {
+	Name           string
+	Domain         string
+	Incarnation    uint64
+	Uptime         time.Duration
+	Ready          bool
+	Stopping       bool
+	Failed         string // of the storage
+	Configuration  uint64 // version in force in the process's own domain
+	CellVersion    uint64 // newest version known
+	CellContactAge time.Duration
+	Groups         []GroupStatus
+}
+
+// GroupStatus is the view of one hosted group.
+type GroupStatus struct {
+	Group       string
+	Replication replication.Status
+	Leads       bool
+	Records     int
+	Endpoints   []*state.Endpoint
+	Waiting     []Waiting // the longest waiting requests, if this process leads
+	Open        map[state.Class]OpenCount
+}
+
+// Waiting tells why a request has not started.
+type Waiting struct {
+	Key     state.Key
+	Kind    string
+	Class   state.Class
+	SinceMS int64 // Unix milliseconds
+	Why     string
+}
+
+// OpenCount counts the open tasks of a class.
+type OpenCount struct{ Queued, Assigned int }
+
+// maxWaitingListed bounds the waiting requests in a status.
+const maxWaitingListed = 50
+
+// ready reports whether callers should be sent to this process: the replica of its
+// own domain has applied an entry of the current leader's term.
+func (n *Node) ready() bool {
+	leader, term := n.home.raft.Leader()
+	return !n.stopping && n.failed == nil && leader != "" && n.home.appliedTerm == term
+}
+
+func (n *Node) status() *Status {
+	s := &Status{
+		Name: n.self.Name, Domain: n.self.Domain, Incarnation: n.self.Incarnation, Uptime: n.clock.Now,
+		Ready: n.ready(), Stopping: n.stopping,
+		Configuration: n.home.domain.Configuration().Version, CellVersion: n.cell.cell.Configuration().Version,
+		CellContactAge: n.clock.Now - n.cellSeen,
+	}
+	if n.failed != nil {
+		s.Failed = n.failed.Error()
+	}
+	for _, r := range n.hosted {
+		s.Groups = append(s.Groups, n.groupStatus(r))
+	}
+	return s
+}
+
+func (n *Node) groupStatus(r *replica) GroupStatus {
+	g := GroupStatus{Group: r.group, Replication: r.raft.Status(n.clock.Now), Leads: r.lead != nil}
+	if r.domain == nil {
+		return g
+	}
+	g.Records = r.domain.RecordCount()
+	g.Open = map[state.Class]OpenCount{}
+	g.Endpoints = r.domain.Endpoints()
+	r.domain.Records(func(rec *state.Record) bool {
+		if rec.Final() {
+			return true
+		}
+		c := g.Open[rec.Class]
+		for i := range rec.State {
+			switch rec.State[i].Status {
+			case state.TaskQueued:
+				c.Queued++
+			case state.TaskAssigned:
+				c.Assigned++
+			}
+		}
+		g.Open[rec.Class] = c
+		if r.lead != nil && len(g.Waiting) < maxWaitingListed && rec.Outcome() == state.OutcomeWaiting {
+			g.Waiting = append(g.Waiting, Waiting{Key: rec.Key, Kind: rec.Kind, Class: rec.Class, SinceMS: rec.AcceptedMS, Why: r.lead.sched.WhyWaiting(rec.Key)})
+		}
+		return true
+	})
+	return g
+}
--- /dev/null
+++ b/demo/standin/standin.go
@@ -0,0 +1,376 @@
+// Package standin is a small endpoint for tests and the demonstration. It follows
+// the endpoint protocol: it announces itself, works under leases, recognises
+// repeated starts and keeps its reports until they are acknowledged. It is not part
+// of the product.
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Config describes one endpoint.
+type Config struct {
+	Name     string
+	Domain   string
+	Kind     state.EndpointKind
+	Capacity state.Resources
+	Rack     string
+	Servers  []string // public addresses of entry processes
+	Token    string   // "" with insecure settings
+	Speed    float64  // 1 is typical, 0.1 runs ten times longer
+	FailAll  bool     // every task fails
+	// Journal is told of each start and each end of an execution.
+	Journal func(Execution)
+}
+
+// Execution is one line of the journal.
+type Execution struct {
+	Endpoint string          `json:"endpoint"`
+	Team     string          `json:"team"`
+	ID       state.RequestID `json:"id"`
+	Task     int             `json:"task"`
+	Attempt  int             `json:"attempt"`
+	Event    string          `json:"event"` // "start", "done", "failed" or "stopped"
+	AtMS     int64           `json:"at_ms"` // Unix milliseconds
+}
+
+// Work is the payload that a stand-in understands.
+type Work struct {
+	RunMS int64 `json:"run_ms"`
+	Fail  bool  `json:"fail,omitempty"`
+}
+
+// stopMargin is how long before the end of the lease repeatable tasks are
+// stopped.
+const stopMargin = 500 * time.Millisecond
+
+// Endpoint is a running stand-in.
+type Endpoint struct {
+	cfg         Config
+	incarnation uint64
+	address     string
+	client      *http.Client
+	server      *http.Server
+	ctx         context.Context
+	cancel      context.CancelFunc
+	wg          sync.WaitGroup
+
+	mu         sync.Mutex
+	term       uint64
+	leaseUntil time.Time
+	low        uint64 // low watermark: starts up to it are settled
+	interval   time.Duration
+	assigner   string
+	nextServer int
+	leaving    bool
+	used       state.Resources
+	attempts   map[uint64]*attempt // by sequence number
+}
+
+// attempt is a start that was answered.
+type attempt struct {
+	ref     protocol.Attempt
+	start   protocol.StartRequest
+	started bool
+	stop    context.CancelFunc
+	report  *protocol.ReportRequest // nil while it runs
+}
+
+// Start announces an endpoint and serves until Close or Leave.
+func Start(cfg Config) (*Endpoint, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if cfg.Speed == 0 {
+		cfg.Speed = 1
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Endpoint{
+		cfg: cfg, incarnation: rand.Uint64() | 1, address: l.Addr().String(), ctx: ctx, cancel: cancel,
+		client: &http.Client{Timeout: 3 * time.Second}, interval: 200 * time.Millisecond, attempts: map[uint64]*attempt{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+protocol.PathTasks, e.handleStart)
+	mux.HandleFunc("POST "+protocol.PathTasksStop, e.handleStop)
+	e.server = &http.Server{Handler: mux}
+	e.wg.Go(func() { _ = e.server.Serve(l) }) // ends with Close
+	e.wg.Go(e.heartbeats)
+	e.wg.Go(e.watchLease)
+	return e, nil
+}
+
+// Address returns the address at which starts arrive.
+func (e *Endpoint) Address() string { return e.address }
+
+// Close stops the endpoint at once, as a crash would.
+func (e *Endpoint) Close() {
+	e.cancel()
+	_ = e.server.Close()
+	e.wg.Wait()
+}
+
+// Leave asks for no new work. The endpoint goes on until Close.
+func (e *Endpoint) Leave() {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+}
+
+// Running returns the number of tasks that run or whose report is not
+// acknowledged.
+func (e *Endpoint) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, a := range e.attempts {
+		if a.started && (a.report == nil || a.report.Status != "") {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Endpoint) handleStart(w http.ResponseWriter, r *http.Request) {
+	var req protocol.StartRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answer(w, e.start(req))
+}
+
+// start decides on a start and remembers the answer for its sequence number.
+func (e *Endpoint) start(req protocol.StartRequest) protocol.StartResponse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if req.Incarnation != e.incarnation {
+		return protocol.StartResponse{Declined: true, Reason: "the endpoint has restarted"}
+	}
+	if a := e.attempts[req.Seq]; a != nil {
+		return protocol.StartResponse{Started: a.started, Declined: !a.started}
+	}
+	if req.Seq <= e.low {
+		return protocol.StartResponse{Declined: true, Reason: "the assignment is settled"}
+	}
+	if req.Term < e.term {
+		// The sender no longer leads: its successor decides on this assignment.
+		return protocol.StartResponse{Reason: "a newer leader is known"}
+	}
+	a := &attempt{ref: req.Attempt, start: req}
+	e.attempts[req.Seq] = a
+	e.term = max(e.term, req.Term)
+	switch {
+	case time.Now().After(e.leaseUntil.Add(-stopMargin)):
+		return protocol.StartResponse{Declined: true, Reason: "the endpoint has no lease"}
+	case !e.used.Add(req.PerTask).FitsIn(e.cfg.Capacity):
+		return protocol.StartResponse{Declined: true, Reason: "the endpoint has no room"}
+	}
+	a.started = true
+	e.used = e.used.Add(req.PerTask)
+	ctx, cancel := context.WithCancel(e.ctx)
+	a.stop = cancel
+	e.wg.Go(func() { e.run(ctx, a) })
+	return protocol.StartResponse{Started: true}
+}
+
+func (e *Endpoint) run(ctx context.Context, a *attempt) {
+	defer a.stop()
+	var work Work
+	_ = json.Unmarshal(a.start.Payload, &work) // other payloads run for no time
+	e.journal(a, "start")
+	t := time.NewTimer(time.Duration(float64(work.RunMS) / e.cfg.Speed * float64(time.Millisecond)))
+	defer t.Stop()
+	status, event, message := state.TaskDone, "done", ""
+	select {
+	case <-t.C:
+		if work.Fail || e.cfg.FailAll {
+			status, event, message = state.TaskFailed, "failed", "the work failed"
+		}
+	case <-ctx.Done():
+		status, event, message = state.TaskCancelled, "stopped", "stopped"
+	}
+	e.journal(a, event)
+	e.finish(a, status, message)
+}
+
+func (e *Endpoint) finish(a *attempt, status state.TaskStatus, message string) {
+	result, _ := json.Marshal(map[string]string{"endpoint": e.cfg.Name, "id": string(a.ref.ID)}) // cannot fail
+	e.mu.Lock()
+	e.used = e.used.Sub(a.start.PerTask)
+	a.report = &protocol.ReportRequest{
+		Attempt: a.ref, Domain: e.cfg.Domain, Endpoint: e.cfg.Name, Incarnation: e.incarnation, Status: status, Error: message,
+	}
+	if status == state.TaskDone {
+		a.report.Result = result
+	}
+	e.mu.Unlock()
+	e.wg.Go(func() { e.deliver(a) })
+}
+
+// deliver repeats a report until it is acknowledged.
+func (e *Endpoint) deliver(a *attempt) {
+	for e.ctx.Err() == nil {
+		if e.post(protocol.PathReports, a.report, &struct{}{}) == nil {
+			e.mu.Lock()
+			a.report = &protocol.ReportRequest{}
+			e.mu.Unlock()
+			return
+		}
+		e.sleep(200 * time.Millisecond)
+	}
+}
+
+func (e *Endpoint) handleStop(w http.ResponseWriter, r *http.Request) {
+	var req protocol.StopRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if req.Incarnation == e.incarnation {
+		e.stopAttempt(req.Attempt)
+	}
+	answer(w, struct{}{})
+}
+
+// stopAttempt stops an attempt, or makes sure that it never starts.
+func (e *Endpoint) stopAttempt(ref protocol.Attempt) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := e.attempts[ref.Seq]
+	if a == nil && ref.Seq > e.low {
+		a = &attempt{ref: ref}
+		e.attempts[ref.Seq] = a
+		a.report = &protocol.ReportRequest{
+			Attempt: ref, Domain: e.cfg.Domain, Endpoint: e.cfg.Name, Incarnation: e.incarnation,
+			Status: state.TaskNotRun, Error: "stopped before it started",
+		}
+		e.wg.Go(func() { e.deliver(a) })
+		return
+	}
+	if a != nil && a.started && a.report == nil {
+		a.stop()
+	}
+}
+
+// watchLease stops repeatable tasks before the lease ends. Unrepeatable ones go
+// on: they are never started elsewhere.
+func (e *Endpoint) watchLease() {
+	for e.sleep(100 * time.Millisecond) {
+		e.mu.Lock()
+		if time.Now().After(e.leaseUntil.Add(-stopMargin)) {
+			for _, a := range e.attempts {
+				if a.started && a.report == nil && a.start.Repeatable {
+					a.stop()
+				}
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
+func (e *Endpoint) heartbeats() {
+	for {
+		e.heartbeat()
+		e.mu.Lock()
+		d := e.interval
+		e.mu.Unlock()
+		if !e.sleep(d) {
+			return
+		}
+	}
+}
+
+func (e *Endpoint) heartbeat() {
+	sent := time.Now()
+	var res protocol.HeartbeatResponse
+	if err := e.post(protocol.PathEndpoint+e.cfg.Name+protocol.PathHeartbeatSuffix, e.heartbeatRequest(), &res); err != nil {
+		return
+	}
+	e.mu.Lock()
+	e.term = max(e.term, res.Term)
+	e.leaseUntil = sent.Add(time.Duration(res.LeaseMS) * time.Millisecond)
+	e.interval = time.Duration(res.IntervalMS) * time.Millisecond
+	e.assigner = res.Assigner
+	e.low = max(e.low, res.LowWatermark)
+	for seq, a := range e.attempts {
+		if seq <= e.low && (!a.started || a.report != nil && a.report.Status == "") {
+			delete(e.attempts, seq)
+		}
+	}
+	e.mu.Unlock()
+	for _, s := range res.Stop {
+		e.stopAttempt(s)
+	}
+}
+
+func (e *Endpoint) heartbeatRequest() protocol.HeartbeatRequest {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	h := protocol.HeartbeatRequest{
+		Domain: e.cfg.Domain, Kind: e.cfg.Kind, Address: e.address, Incarnation: e.incarnation,
+		Capacity: e.cfg.Capacity, Used: e.used, Rack: e.cfg.Rack, Leaving: e.leaving,
+	}
+	for _, a := range e.attempts {
+		if a.started && (a.report == nil || a.report.Status != "") {
+			h.Running = append(h.Running, a.ref)
+		}
+	}
+	return h
+}
+
+// post sends to the assigner, or to the next entry process if it does not answer.
+func (e *Endpoint) post(path string, body, into any) error {
+	e.mu.Lock()
+	server := e.assigner
+	if server == "" {
+		server = e.cfg.Servers[e.nextServer%len(e.cfg.Servers)]
+		e.nextServer++
+	}
+	e.mu.Unlock()
+	err := Post(e.ctx, e.client, "http://"+server+path, e.cfg.Token, body, into)
+	if err != nil {
+		e.mu.Lock()
+		e.assigner = ""
+		e.mu.Unlock()
+	}
+	return err
+}
+
+// sleep reports false if the endpoint was closed.
+func (e *Endpoint) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
+
+func (e *Endpoint) journal(a *attempt, event string) {
+	if e.cfg.Journal == nil {
+		return
+	}
+	e.cfg.Journal(Execution{
+		Endpoint: e.cfg.Name, Team: a.ref.Team, ID: a.ref.ID, Task: a.ref.Task, Attempt: a.ref.Attempt,
+		Event: event, AtMS: time.Now().UnixMilli(),
+	})
+}
+
+func answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the sender asks again
+}
--- a/protocol/api.go
+++ b/protocol/api.go
@@ -4,7 +4,9 @@
 package protocol
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 
 	"github.com/primrosereach/primrosereach/state"
 )
@@ -75,7 +77,8 @@
 
 // RequestList answers GET /v1/requests with the requests of the caller's team.
 type RequestList struct {
-	Requests []RequestStatus `json:"requests"`
+	Requests    []RequestStatus `json:"requests"`
+	Unreachable []string        `json:"unreachable,omitempty"` // failure domains that are missing in the list
 }
 
 // ConfigureRequest is the body of PUT /v1/configuration.
@@ -91,10 +94,17 @@
 
 // EndpointList answers GET /v1/endpoints.
 type EndpointList struct {
-	Endpoints []state.Endpoint `json:"endpoints"`
+	Endpoints   []state.Endpoint `json:"endpoints"`
+	Unreachable []string         `json:"unreachable,omitempty"` // failure domains that are missing in the list
 }
 
 // AuditList answers GET /v1/audit, oldest record first.
 type AuditList struct {
-	Records []state.AuditRecord `json:"records"`
+	Records     []state.AuditRecord `json:"records"`
+	Unreachable []string            `json:"unreachable,omitempty"` // failure domains that are missing in the list
+}
+
+// SortAudit orders records by time.
+func SortAudit(records []state.AuditRecord) {
+	slices.SortStableFunc(records, func(a, b state.AuditRecord) int { return cmp.Compare(a.AtMS, b.AtMS) })
 }
--- a/protocol/settings/settings.go
+++ b/protocol/settings/settings.go
@@ -37,6 +37,7 @@
 type Peer struct {
 	Name          string `json:"name"`
 	Domain        string `json:"domain"`
+	Region        string `json:"region"`         // optional; outside members of a group come from its own region first
 	Address       string `json:"address"`        // its peer_advertise, IP:port
 	PublicAddress string `json:"public_address"` // its advertise, IP:port
 	Disk          bool   `json:"disk"`           // it has a data directory
--- /dev/null
+++ b/protocol/status.go
@@ -0,0 +1,100 @@
+package protocol
+
+import (
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// ProcessStatus answers GET /v1/status: what one process knows of itself and of
+// the groups that it hosts.
+type ProcessStatus struct {
+	Name          string        `json:"name"`
+	Domain        string        `json:"domain"`
+	Ready         bool          `json:"ready"`
+	Stopping      bool          `json:"stopping,omitempty"`
+	StorageError  string        `json:"storage_error,omitempty"`
+	UptimeS       int64         `json:"uptime_s"`
+	Configuration uint64        `json:"configuration"`   // version in force in the process's domain
+	CellVersion   uint64        `json:"cell_version"`    // newest version known
+	CellContactMS int64         `json:"cell_contact_ms"` // since the last contact to the cell group
+	Groups        []GroupStatus `json:"groups"`
+}
+
+// GroupStatus is one hosted group.
+type GroupStatus struct {
+	Group      string                       `json:"group"`
+	Leader     string                       `json:"leader"`
+	Leads      bool                         `json:"leads"`
+	Term       uint64                       `json:"term"`
+	Committed  uint64                       `json:"committed"` // log index
+	Durability string                       `json:"durability"`
+	Members    []MemberStatus               `json:"members"`
+	Records    int                          `json:"records"`
+	Endpoints  map[state.EndpointStatus]int `json:"endpoints,omitempty"`
+	Open       map[state.Class]OpenTasks    `json:"open,omitempty"`
+	Waiting    []WaitingRequest             `json:"waiting,omitempty"` // known to the leader only
+}
+
+// MemberStatus is one replica of a group as its leader sees it.
+type MemberStatus struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	Disk   bool   `json:"disk"`
+	Voter  bool   `json:"voter"`
+	Match  uint64 `json:"match"` // synced log index, known to the leader only
+}
+
+// OpenTasks counts the open tasks of a class.
+type OpenTasks struct {
+	Queued   int `json:"queued"`
+	Assigned int `json:"assigned"`
+}
+
+// WaitingRequest tells what waits, why, and since when.
+type WaitingRequest struct {
+	Team    string          `json:"team"`
+	ID      state.RequestID `json:"id"`
+	Kind    string          `json:"kind"`
+	Class   state.Class     `json:"class"`
+	SinceMS int64           `json:"since_ms"` // Unix milliseconds
+	Why     string          `json:"why"`
+}
+
+// NewProcessStatus describes a node's status.
+func NewProcessStatus(s *coordination.Status) ProcessStatus {
+	out := ProcessStatus{
+		Name: s.Name, Domain: s.Domain, Ready: s.Ready, Stopping: s.Stopping, StorageError: s.Failed,
+		UptimeS: int64(s.Uptime.Seconds()), Configuration: s.Configuration, CellVersion: s.CellVersion,
+		CellContactMS: s.CellContactAge.Milliseconds(),
+	}
+	for i := range s.Groups {
+		out.Groups = append(out.Groups, newGroupStatus(&s.Groups[i]))
+	}
+	return out
+}
+
+func newGroupStatus(g *coordination.GroupStatus) GroupStatus {
+	out := GroupStatus{
+		Group: g.Group, Leader: g.Replication.Leader, Leads: g.Leads, Term: g.Replication.Term, Committed: g.Replication.Commit,
+		Durability: string(g.Replication.Durability), Records: g.Records,
+	}
+	for _, m := range g.Replication.Members {
+		out.Members = append(out.Members, MemberStatus{Name: m.Name, Domain: m.Domain, Disk: m.Disk, Voter: m.Voter, Match: m.Match})
+	}
+	if len(g.Endpoints) > 0 {
+		out.Endpoints = map[state.EndpointStatus]int{}
+	}
+	for _, e := range g.Endpoints {
+		out.Endpoints[e.Status]++
+	}
+	if len(g.Open) > 0 {
+		out.Open = map[state.Class]OpenTasks{}
+	}
+	for c, n := range g.Open {
+		out.Open[c] = OpenTasks{Queued: n.Queued, Assigned: n.Assigned}
+	}
+	for _, w := range g.Waiting {
+		out.Waiting = append(out.Waiting, WaitingRequest{Team: w.Key.Team, ID: w.Key.ID, Kind: w.Kind, Class: w.Class, SinceMS: w.SinceMS, Why: w.Why})
+	}
+	return out
+}
--- a/state/apply.go
+++ b/state/apply.go
@@ -19,6 +19,8 @@
 		d.horizonS = max(d.horizonS, c.Bootstrap.HorizonS)
 	case c.Accept != nil:
 		a = d.accept(c.Accept)
+	case c.Refuse != nil:
+		a = d.refuse(c.Refuse)
 	case c.Assign != nil:
 		a = d.assign(c.Assign)
 	case c.Report != nil:
@@ -50,6 +52,9 @@
 	if d.records[k] != nil {
 		return Applied{Rejected: fmt.Errorf("%s/%s: %w", k.Team, k.ID, ErrExists)}
 	}
+	if f, ok := d.refused[k]; ok && c.Request.AcceptedMS < f.AtMS+RefusalHoldMS {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w: %s", k.Team, k.ID, ErrRefused, f.Reason)}
+	}
 	_, issued, err := k.ID.Parse()
 	if err != nil {
 		return Applied{Rejected: err}
@@ -65,6 +70,28 @@
 	return Applied{Records: []*Record{r}}
 }
 
+// RefusalHoldMS is how long a refusal blocks its request ID, in milliseconds. It
+// is twice the time for which an entry process keeps a submission.
+const RefusalHoldMS = 60_000
+
+func (d *Domain) refuse(c *Refuse) Applied {
+	if r := d.records[c.Key]; r != nil {
+		return Applied{Rejected: fmt.Errorf("%s/%s: %w", c.Team, c.ID, ErrExists), Records: []*Record{r}}
+	}
+	for len(d.refusals) > 0 && d.refusals[0].AtMS+RefusalHoldMS <= c.AtMS {
+		if k := d.refusals[0].Key; d.refused[k] == d.refusals[0] {
+			delete(d.refused, k)
+		}
+		d.refusals = d.refusals[1:]
+	}
+	if old, ok := d.refused[c.Key]; ok && c.AtMS < old.AtMS+RefusalHoldMS {
+		return Applied{}
+	}
+	d.refused[c.Key] = *c
+	d.refusals = append(d.refusals, *c)
+	return Applied{}
+}
+
 // assign verifies the whole plan against a running total before it changes
 // anything: two plans made from the same snapshot may claim the same capacity.
 func (d *Domain) assign(c *Assign) Applied {
--- a/state/apply_endpoint.go
+++ b/state/apply_endpoint.go
@@ -1,6 +1,9 @@
 package state
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 func (d *Domain) announce(c *Announce) Applied {
 	e := c.Endpoint
@@ -44,6 +47,7 @@
 		d.store(r, atMS)
 		out = append(out, r)
 	}
+	slices.SortFunc(out, compareRecords) // callers act on them in this order on every run
 	return out
 }
 
--- a/state/command.go
+++ b/state/command.go
@@ -9,6 +9,7 @@
 	// Domain group.
 	Bootstrap       *Bootstrap          `json:"bootstrap,omitempty"`
 	Accept          *Accept             `json:"accept,omitempty"`
+	Refuse          *Refuse             `json:"refuse,omitempty"`
 	Assign          *Assign             `json:"assign,omitempty"`
 	Report          *Report             `json:"report,omitempty"`
 	Cancel          *Cancel             `json:"cancel,omitempty"`
@@ -35,6 +36,16 @@
 	Request Request `json:"request"`
 }
 
+// Refuse blocks the ID of a request that was refused, so that a delayed copy of
+// the submission cannot be accepted after the caller was told "not run". It is
+// rejected if the request was accepted before.
+type Refuse struct {
+	Key
+	AtMS         int64  `json:"at_ms"`
+	Reason       string `json:"reason"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
 // Assignment binds one queued task to an endpoint.
 type Assignment struct {
 	Key
--- a/state/domain.go
+++ b/state/domain.go
@@ -1,14 +1,17 @@
 package state
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Reasons for which a command is rejected. They are wrapped with the names
 // involved.
 var (
 	ErrExists      = errors.New("request exists")
+	ErrRefused     = errors.New("request ID was refused")
 	ErrNoRequest   = errors.New("no such request")
 	ErrTooOld      = errors.New("request ID was issued before the horizon: an earlier outcome is no longer known")
 	ErrNoEndpoint  = errors.New("no such endpoint or incarnation")
@@ -37,6 +40,8 @@
 	endpoints map[string]*Endpoint
 	assigned  map[string]map[uint64]TaskRef // endpoint name and sequence number
 	usage     map[string]Usage              // by team
+	refused   map[Key]Refuse
+	refusals  []Refuse // oldest first, the values of refused
 	adopted   VersionedConfiguration
 	shares    map[string]Resources
 	audit     []AuditRecord
@@ -50,6 +55,7 @@
 		endpoints: map[string]*Endpoint{},
 		assigned:  map[string]map[uint64]TaskRef{},
 		usage:     map[string]Usage{},
+		refused:   map[Key]Refuse{},
 		shares:    map[string]Resources{},
 	}
 }
@@ -75,19 +81,38 @@
 	}
 }
 
+// OpenRecords returns the records that are not final in the order of their
+// acceptance.
+func (d *Domain) OpenRecords() []*Record {
+	var out []*Record
+	for _, r := range d.records {
+		if !r.Final() {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, compareRecords)
+	return out
+}
+
+// compareRecords orders records by acceptance, then by key.
+func compareRecords(a, b *Record) int {
+	return cmp.Or(cmp.Compare(a.AcceptedMS, b.AcceptedMS), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Team, b.Team))
+}
+
 // RecordCount returns the number of records kept.
 func (d *Domain) RecordCount() int { return len(d.records) }
 
 // Endpoint returns the named endpoint, or nil.
 func (d *Domain) Endpoint(name string) *Endpoint { return d.endpoints[name] }
 
-// Endpoints calls f for each endpoint until f returns false. The order is random.
-func (d *Domain) Endpoints(f func(*Endpoint) bool) {
+// Endpoints returns the endpoints sorted by name.
+func (d *Domain) Endpoints() []*Endpoint {
+	out := make([]*Endpoint, 0, len(d.endpoints))
 	for _, e := range d.endpoints {
-		if !f(e) {
-			return
-		}
+		out = append(out, e)
 	}
+	slices.SortFunc(out, func(a, b *Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	return out
 }
 
 // EndpointCount returns the number of endpoints known.
@@ -100,12 +125,22 @@
 	}
 }
 
+// Refused returns the refusal that blocks a key, if there is one.
+func (d *Domain) Refused(k Key) (Refuse, bool) {
+	r, ok := d.refused[k]
+	return r, ok
+}
+
 // Configuration returns the configuration in force in the domain.
 func (d *Domain) Configuration() VersionedConfiguration { return d.adopted }
 
 // Share returns the domain's part of a team's quota.
 func (d *Domain) Share(team string) Resources { return d.shares[team] }
 
+// Shares returns the domain's part of each team's quota. The caller must not
+// change the map.
+func (d *Domain) Shares() map[string]Resources { return d.shares }
+
 // TeamUsage returns what a team has reserved.
 func (d *Domain) TeamUsage(team string) Usage { return d.usage[team] }
 
@@ -122,6 +157,7 @@
 	Endpoints []*Endpoint            `json:"endpoints"`
 	Adopted   VersionedConfiguration `json:"adopted"`
 	Shares    map[string]Resources   `json:"shares"`
+	Refusals  []Refuse               `json:"refusals,omitempty"`
 	Audit     []AuditRecord          `json:"audit,omitempty"`
 }
 
@@ -133,6 +169,7 @@
 		Records:   make([]*Record, 0, len(d.records)),
 		Endpoints: make([]*Endpoint, 0, len(d.endpoints)),
 		Shares:    d.shares, // replaced, never changed, by AdoptConfiguration
+		Refusals:  append([]Refuse(nil), d.refusals...),
 		Audit:     d.audit[:len(d.audit):len(d.audit)],
 	}
 	for _, r := range d.records {
@@ -149,6 +186,10 @@
 	d := NewDomain(s.Name)
 	d.applied, d.horizonS, d.adopted = s.Applied, s.HorizonS, s.Adopted
 	d.audit = append(d.audit, s.Audit...)
+	for _, r := range s.Refusals {
+		d.refused[r.Key] = r
+		d.refusals = append(d.refusals, r)
+	}
 	if s.Shares != nil {
 		d.shares = s.Shares
 	}
--- a/state/log.go
+++ b/state/log.go
@@ -16,7 +16,7 @@
 }
 
 // Find returns the voter of the given name, or nil.
-func (m *Membership) Find(name string) *Member {
+func (m Membership) Find(name string) *Member {
 	for i := range m.Voters {
 		if m.Voters[i].Name == name {
 			return &m.Voters[i]
--- /dev/null
+++ b/transport/daemon/daemon.go
@@ -0,0 +1,283 @@
+// Package daemon wires the parts of an entry process together.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/protocol/access"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+	"github.com/primrosereach/primrosereach/state"
+	"github.com/primrosereach/primrosereach/state/storage"
+	"github.com/primrosereach/primrosereach/transport/control"
+	"github.com/primrosereach/primrosereach/transport/endpoint"
+	"github.com/primrosereach/primrosereach/transport/httpapi"
+	"github.com/primrosereach/primrosereach/transport/metrics"
+	"github.com/primrosereach/primrosereach/transport/peer"
+	"github.com/primrosereach/primrosereach/transport/persist"
+)
+
+// process is a running entry process.
+type process struct {
+	settings *settings.Settings
+	logger   hclog.Logger
+	loop     *control.Loop
+	node     *coordination.Node
+	peers    *peer.Client
+	tasks    *endpoint.Client
+	writer   *persist.Writer
+	metrics  *metrics.Metrics
+	access   *access.Access
+	tls      *tlsFiles
+	store    *storage.Store // nil without a disk
+	wg       sync.WaitGroup
+}
+
+// Run serves until ctx ends, then stops gracefully. An error means that the
+// process could not start, or that a listener or the storage failed.
+func Run(ctx context.Context, s *settings.Settings) error {
+	p := &process{settings: s, loop: control.NewLoop(), logger: newLogger(s)}
+	var err error
+	if p.access, err = access.Load(s); err != nil {
+		return errors.Wrap(err, "load tokens")
+	}
+	if p.tls, err = loadTLS(s.TLS); err != nil {
+		return errors.Wrap(err, "load TLS files")
+	}
+	listeners, err := p.listen()
+	if err != nil {
+		return err
+	}
+	if err := p.open(); err != nil {
+		listeners.close()
+		return err
+	}
+	err = p.serve(ctx, listeners)
+	if p.store == nil {
+		return err
+	}
+	if closeErr := p.store.Close(); closeErr != nil {
+		err = errors.Join(err, errors.Wrap(closeErr, "close data directory"))
+	}
+	return err
+}
+
+func newLogger(s *settings.Settings) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name: "primrosereach", Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stderr,
+	}).With("process", s.Name, "domain", s.Domain)
+}
+
+// open reads the data directory and builds the node.
+func (p *process) open() error {
+	self := p.settings.Self()
+	member := state.Member{Name: self.Name, Incarnation: randomUint64(), Address: p.settings.PeerAdvertise, Domain: p.settings.Domain, Disk: p.settings.DataDir != ""}
+	peers := peersOf(p.settings)
+	recovered := map[string]coordination.Recovered{}
+	logs := map[string]persist.Log{}
+	if member.Disk {
+		if err := p.recover(&member, peers, recovered, logs); err != nil {
+			return err
+		}
+	}
+	p.writer = persist.NewWriter(logs, p.loop)
+	p.node = coordination.New(coordination.Config{
+		Self: member, Peers: peers, Recovered: recovered, Rand: cryptoRand{},
+		NewScheduler: func() scheduling.Scheduler { return newScheduler() },
+	}, p.loop.Clock())
+	return nil
+}
+
+func (p *process) recover(member *state.Member, peers []coordination.Peer, recovered map[string]coordination.Recovered, logs map[string]persist.Log) error {
+	store, err := storage.Open(storage.OS(), p.settings.DataDir, member.Incarnation)
+	if err != nil {
+		return errors.Wrap(err, "open data directory")
+	}
+	p.store = store
+	member.Incarnation = store.Incarnation()
+	for _, group := range coordination.Groups(p.settings.Name, peers) {
+		log, rec, err := store.Group(group)
+		if err != nil {
+			return errors.Wrapf(err, "recover group %s", group)
+		}
+		for _, d := range rec.Dropped {
+			p.logger.Warn("dropped the torn tail of the log", "step", "recover", "group", group, "dropped", d.String())
+		}
+		recovered[group] = coordination.Recovered{HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries}
+		logs[group] = log
+	}
+	return nil
+}
+
+func peersOf(s *settings.Settings) []coordination.Peer {
+	out := make([]coordination.Peer, len(s.Peers))
+	for i, p := range s.Peers {
+		out[i] = coordination.Peer{
+			Member: state.Member{Name: p.Name, Address: p.Address, Domain: p.Domain, Disk: p.Disk},
+			Region: p.Region, PublicAddress: p.PublicAddress,
+		}
+	}
+	return out
+}
+
+// Execute implements control.Executor.
+func (p *process) Execute(e coordination.Effect) {
+	switch e := e.(type) {
+	case coordination.Persist, coordination.SaveSnapshot:
+		p.writer.Enqueue(e)
+	case coordination.SendPeer:
+		p.peers.Send(e.Address, e.Message)
+	case coordination.StartTask, coordination.StopTask:
+		p.tasks.Enqueue(e) // heartbeats and resends repeat what a full queue drops
+	case coordination.Measure:
+		p.metrics.Observe(e)
+	case coordination.Log:
+		p.log(e)
+	}
+}
+
+func (p *process) log(e coordination.Log) {
+	args := []any{"step", e.Step}
+	if e.Peer != "" {
+		args = append(args, "peer", e.Peer)
+	}
+	if e.Request != "" {
+		args = append(args, "request", e.Request)
+	}
+	p.logger.Log(hclog.LevelFromString(e.Level), e.Message, args...)
+}
+
+type listeners struct{ public, peer net.Listener }
+
+func (l *listeners) close() {
+	_ = l.public.Close()
+	_ = l.peer.Close()
+}
+
+func (p *process) listen() (*listeners, error) {
+	public, err := net.Listen("tcp", p.settings.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", p.settings.Listen)
+	}
+	peerListener, err := net.Listen("tcp", p.settings.PeerListen)
+	if err != nil {
+		_ = public.Close()
+		return nil, errors.Wrapf(err, "listen on %s", p.settings.PeerListen)
+	}
+	return &listeners{public: limitListener(public, p.settings.Limits.MaxConnections), peer: peerListener}, nil
+}
+
+const (
+	// headerTimeout and idleTimeout close the connections of slow and idle clients.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the header of a call.
+	maxHeaderBytes = 16 << 10
+)
+
+func (p *process) serve(ctx context.Context, l *listeners) error {
+	running, stop := context.WithCancel(context.Background())
+	defer stop()
+	p.metrics = metrics.New(p.loop)
+	p.peers = peer.NewClient(running, &http.Client{Transport: p.tls.transport()}, p.tls.scheme(), p.access.OwnPeerToken(), p.logger)
+	p.tasks = endpoint.NewClient(running, p.tls.transport(), p.tls.scheme(), p.loop, p.logger)
+	api := httpapi.New(httpapi.Config{
+		Name: p.settings.Name, Domain: p.settings.Domain, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
+		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
+	})
+	public := p.newServer(api)
+	public.ReadTimeout = time.Duration(p.settings.Limits.RequestTimeoutMS) * time.Millisecond
+	peers := p.newServer(peer.NewHandler(p.loop, api, p.access, p.logger))
+
+	failed := make(chan error, 2)
+	p.start(public, l.public, failed)
+	p.start(peers, l.peer, failed)
+	p.wg.Go(func() { p.writer.Run(running) })
+	p.wg.Go(func() { p.loop.Run(running, p.node, p) })
+	p.logger.Info("serving", "step", "start", "listen", l.public.Addr().String(), "peer_listen", l.peer.Addr().String())
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = p.shutdown(public)
+	case err = <-failed:
+	}
+	_ = peers.Close()
+	stop()
+	p.wg.Wait()
+	p.peers.Wait()
+	p.tasks.Wait()
+	return err
+}
+
+func (p *process) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		TLSConfig: p.tls.serverConfig(),
+		ErrorLog:  p.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+func (p *process) start(s *http.Server, l net.Listener, failed chan<- error) {
+	p.wg.Go(func() {
+		var err error
+		if s.TLSConfig != nil {
+			err = s.ServeTLS(l, "", "")
+		} else {
+			err = s.Serve(l)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrapf(err, "serve %s", l.Addr())
+		}
+	})
+}
+
+// drainDelay is how long the process answers "not ready" before it closes its
+// listener, so that the balancer sends new callers elsewhere first.
+const drainDelay = time.Second
+
+// shutdown passes leadership on, lets the balancer notice and waits for the calls
+// under way. Calls that wait for an outcome are answered when their leader resigns
+// and are carried on by its successor.
+func (p *process) shutdown(public *http.Server) error {
+	p.logger.Info("stopping", "step", "shutdown")
+	limit := time.Duration(p.settings.Limits.ShutdownTimeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	p.loop.Send(ctx, coordination.Shutdown{})
+	select {
+	case <-time.After(drainDelay):
+	case <-ctx.Done():
+	}
+	if err := public.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "wait for calls under way")
+	}
+	return nil
+}
+
+// cryptoRand implements replication.Rand.
+type cryptoRand struct{}
+
+func (cryptoRand) Uint64() uint64 { return randomUint64() }
+
+// randomUint64 returns a random number other than 0.
+func randomUint64() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+		if v := binary.LittleEndian.Uint64(b[:]); v != 0 {
+			return v
+		}
+	}
+}
--- /dev/null
+++ b/transport/daemon/limit.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"net"
+	"sync"
+)
+
+// limitListener accepts at most n connections at once. Further clients wait in the
+// listen queue of the system.
+func limitListener(l net.Listener, n int) net.Listener {
+	return &limited{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
+}
+
+type limited struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *limited) Accept() (net.Conn, error) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	c, err := l.Listener.Accept()
+	if err != nil {
+		<-l.slots
+		return nil, err
+	}
+	return &limitedConn{Conn: c, release: func() { <-l.slots }}, nil
+}
+
+// Close implements net.Listener.
+func (l *limited) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+type limitedConn struct {
+	net.Conn
+	once    sync.Once
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
--- /dev/null
+++ b/transport/httpapi/health.go
@@ -0,0 +1,43 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/protocol"
+)
+
+// healthz answers while the control goroutine does.
+func (s *Server) healthz(w http.ResponseWriter, r *http.Request) {
+	if _, ok := s.readStatus(r); !ok {
+		http.Error(w, "the control goroutine does not answer", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// readyz tells the balancer whether to send callers here.
+func (s *Server) readyz(w http.ResponseWriter, r *http.Request) {
+	st, ok := s.readStatus(r)
+	if !ok || !st.Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) readStatus(r *http.Request) (*coordination.Status, bool) {
+	a, ok := s.loop.Call(r.Context(), func(t coordination.Token) coordination.Event {
+		return coordination.ReadStatus{Token: t}
+	})
+	return a.Status, ok && a.Status != nil
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request, _ protocol.Identity) {
+	st, ok := s.readStatus(r)
+	if !ok {
+		write(w, s.fail(protocol.Operation{Name: "status"}, &protocol.Error{Code: protocol.CodeUnavailable, Message: "the control goroutine does not answer"}))
+		return
+	}
+	write(w, protocol.OKResult(protocol.NewProcessStatus(st)))
+}
--- /dev/null
+++ b/transport/peer/peer.go
@@ -0,0 +1,140 @@
+// Package peer carries calls between the entry processes over connect.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination/replication"
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/protocol/peerv1"
+	"github.com/primrosereach/primrosereach/protocol/peerv1/peerv1connect"
+)
+
+const (
+	// queueLength bounds the replication messages that wait for one peer. More are
+	// dropped: replication sends them again, and old ones are of no use.
+	queueLength = 1024
+	// batchSize bounds the messages of one delivery.
+	batchSize = 128
+	// deliverTimeout is well above a round trip between domains. A snapshot of the
+	// largest state takes longest.
+	deliverTimeout = 5 * time.Second
+)
+
+// Client sends to other processes.
+type Client struct {
+	http   connect.HTTPClient
+	scheme string
+	token  string
+	logger hclog.Logger
+	ctx    context.Context
+
+	mu      sync.Mutex
+	senders map[string]chan replication.Message // by address
+	clients map[string]peerv1connect.PeerServiceClient
+	wg      sync.WaitGroup
+}
+
+// NewClient returns a client whose senders run until ctx ends. token is presented
+// to peers, "" for none; scheme is http or https.
+func NewClient(ctx context.Context, httpClient connect.HTTPClient, scheme, token string, logger hclog.Logger) *Client {
+	return &Client{
+		http: httpClient, scheme: scheme, token: token, logger: logger, ctx: ctx,
+		senders: map[string]chan replication.Message{}, clients: map[string]peerv1connect.PeerServiceClient{},
+	}
+}
+
+// Send queues a replication message for the process at an address. It never
+// blocks.
+func (c *Client) Send(address string, m replication.Message) {
+	c.mu.Lock()
+	q := c.senders[address]
+	if q == nil {
+		q = make(chan replication.Message, queueLength)
+		c.senders[address] = q
+		c.wg.Go(func() { c.deliver(address, q) })
+	}
+	c.mu.Unlock()
+	select {
+	case q <- m:
+	default:
+	}
+}
+
+// Wait returns when all senders have ended.
+func (c *Client) Wait() { c.wg.Wait() }
+
+func (c *Client) client(address string) peerv1connect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.clients[address]
+	if p == nil {
+		p = peerv1connect.NewPeerServiceClient(c.http, c.scheme+"://"+address)
+		c.clients[address] = p
+	}
+	return p
+}
+
+// deliver sends what has queued up in one call, then the next.
+func (c *Client) deliver(address string, q <-chan replication.Message) {
+	for {
+		var batch []replication.Message
+		select {
+		case <-c.ctx.Done():
+			return
+		case m := <-q:
+			batch = append(batch, m)
+		}
+		for len(batch) < batchSize && len(q) > 0 {
+			batch = append(batch, <-q)
+		}
+		if err := c.deliverBatch(address, batch); err != nil && c.ctx.Err() == nil {
+			c.logger.Debug("messages lost", "step", "deliver", "peer", address, "count", len(batch), "error", err.Error())
+		}
+	}
+}
+
+func (c *Client) deliverBatch(address string, batch []replication.Message) error {
+	req := &peerv1.DeliverRequest{Messages: make([]*peerv1.Message, len(batch))}
+	for i := range batch {
+		m, err := protocol.EncodeMessage(&batch[i])
+		if err != nil {
+			return errors.Wrap(err, "encode")
+		}
+		req.Messages[i] = m
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, deliverTimeout)
+	defer cancel()
+	_, err := c.client(address).Deliver(ctx, c.request(req))
+	return err
+}
+
+func (c *Client) request(m *peerv1.DeliverRequest) *connect.Request[peerv1.DeliverRequest] {
+	r := connect.NewRequest(m)
+	c.authorize(r.Header())
+	return r
+}
+
+func (c *Client) authorize(h http.Header) {
+	if c.token != "" {
+		h.Set("Authorization", "Bearer "+c.token)
+	}
+}
+
+// Forward performs an operation at the process at an address.
+func (c *Client) Forward(ctx context.Context, address string, op protocol.Operation) (protocol.Result, error) {
+	r := connect.NewRequest(protocol.EncodeOperation(op))
+	c.authorize(r.Header())
+	res, err := c.client(address).Forward(ctx, r)
+	if err != nil {
+		return protocol.Result{}, errors.Wrapf(err, "forward %s to %s", op.Name, address)
+	}
+	return protocol.DecodeResult(res.Msg), nil
+}
