replication: fake cluster in virtual time and random histories

Cause: consensus needs proof under faults, and other packages need the same fakes. Change: replicationtest (network, disks, clocks, checker, faults) and a property test over random histories. Faults found by it and fixed: a leader that admits a replacement while the earlier incarnation still answers can lose its majority, so that one must be silent for 1 s; answers of empty replicas older than 400 ms may come from dead incarnations; a joiner learns the voters' addresses from any member; a learner's disk copy counts, or a group could not replace its only disk.

--- a/coordination/replication/append.go
+++ b/coordination/replication/append.go
@@ -226,7 +226,9 @@
 }
 
 // advanceCommit commits what a majority of the voters has synced. If any voter
-// has a disk, one synced copy must be on a disk. Entries of earlier terms are
+// has a disk, one synced copy must be on a disk. That copy may be a learner's: a
+// group whose only voter with a disk has lost it could otherwise never commit its
+// replacement. Entries of earlier terms are
 // committed only by a later one of the own term: a count alone does not keep
 // another candidate from replacing them.
 func (g *Group) advanceCommit() {
@@ -240,6 +242,11 @@
 			disk, onDisk = true, max(onDisk, match)
 		}
 	}
+	for _, p := range g.peers {
+		if p.learner && p.member.Disk {
+			onDisk = max(onDisk, p.match)
+		}
+	}
 	if len(matches) == 0 {
 		return
 	}
--- a/coordination/replication/bootstrap.go
+++ b/coordination/replication/bootstrap.go
@@ -11,6 +11,17 @@
 // for the group at bootstrap.
 const joinInterval = 200 * time.Millisecond
 
+// founderTimeout: an older answer that a member is empty does not count. The
+// member may have restarted since, and a group founded with a majority of dead
+// incarnations never starts.
+const founderTimeout = 2 * joinInterval
+
+// founder is an empty replica that answered a query.
+type founder struct {
+	state.Member
+	at time.Duration
+}
+
 // wantsJoin reports whether this replica asks to be admitted: it has no
 // membership, is not listed, or is listed with other properties, such as an
 // earlier address. An incarnation that was a voter and was removed does not ask.
@@ -36,19 +47,22 @@
 	}
 }
 
-// knownMembers returns the voters and the founding names, without this replica.
-// Their incarnations are left out: they may have changed.
+// knownMembers returns whom to ask: the voters at the addresses that the group
+// lists, and the founding names at the addresses that the caller knows. Either may
+// be out of date. Incarnations are left out: they may have changed.
 func (g *Group) knownMembers() []state.Member {
 	var known []state.Member
-	for _, v := range g.voters() {
-		known = append(known, state.Member{Name: v.Name, Address: v.Address})
+	for _, v := range append(g.contacts, g.voters()...) {
+		if v.Address != g.self.Address {
+			known = append(known, state.Member{Name: v.Name, Address: v.Address})
+		}
 	}
 	for _, name := range g.cfg.Bootstrap {
-		if g.voters() == nil || g.membership().Find(name) == nil {
+		if name != g.self.Name {
 			known = append(known, state.Member{Name: name})
 		}
 	}
-	return slices.DeleteFunc(known, func(m state.Member) bool { return m.Name == g.self.Name })
+	return known
 }
 
 func (g *Group) handleJoin(m *Message) {
@@ -80,7 +94,7 @@
 	g.foundAgain(m)
 	g.founded = false
 	self := g.self
-	r := Message{Type: MsgJoinResponse, Known: true, Member: &self, Nonce: m.Nonce}
+	r := Message{Type: MsgJoinResponse, Known: true, Member: &self, Members: g.voters(), Nonce: m.Nonce}
 	if g.log.offset == 0 {
 		if e := g.log.entries[0]; e.Membership != nil && listed(e.Membership.Voters, m.FromIncarnation) {
 			r.Entries = []state.Entry{e}
@@ -94,12 +108,12 @@
 		return
 	}
 	if !m.Known {
-		g.founders[m.From] = *m.Member
+		g.founders[m.From] = founder{*m.Member, g.now}
 		g.foundIfComplete()
 		return
 	}
 	first := g.joinGroup != m.GroupID
-	g.joinGroup = m.GroupID
+	g.joinGroup, g.contacts = m.GroupID, m.Members
 	if len(m.Entries) == 1 && g.adopt(m.Entries[0]) {
 		return
 	}
@@ -115,7 +129,7 @@
 		return
 	}
 	for _, name := range g.cfg.Bootstrap {
-		if _, ok := g.founders[name]; !ok && name != g.self.Name {
+		if f, ok := g.founders[name]; name != g.self.Name && (!ok || g.now-f.at > founderTimeout) {
 			return
 		}
 	}
@@ -125,9 +139,9 @@
 // found creates the group: its first entry lists the members and its new ID.
 func (g *Group) found() {
 	m := state.Membership{GroupID: g.cfg.Rand.Uint64() | 1}
-	g.founders[g.self.Name] = g.self
+	g.founders[g.self.Name] = founder{g.self, g.now}
 	for _, name := range g.cfg.Bootstrap {
-		m.Voters = with(m.Voters, g.founders[name])
+		m.Voters = with(m.Voters, g.founders[name].Member)
 	}
 	g.founded = true
 	g.begin(state.Entry{Index: 1, Term: 1, Membership: &m})
@@ -141,7 +155,7 @@
 	if !g.founded || g.log.last() != 1 || v == nil || v.Incarnation == m.FromIncarnation {
 		return
 	}
-	g.founders[m.From] = *m.Member
+	g.founders[m.From] = founder{*m.Member, g.now}
 	g.becomeFollower(g.term, "")
 	g.truncate(1)
 	g.found()
@@ -162,5 +176,6 @@
 	if g.term < first.Term {
 		g.setTerm(first.Term, "")
 	}
+	g.contacts = nil
 	g.resetElection()
 }
--- a/coordination/replication/group.go
+++ b/coordination/replication/group.go
@@ -115,11 +115,12 @@
 
 	// As a replica that is not in the membership.
 	joinAt    time.Duration
-	joinGroup uint64 // ID of the group that answered
+	joinGroup uint64         // ID of the group that answered
+	contacts  []state.Member // its voters
 	nonce     uint64
-	answered  map[uint64]bool         // incarnations that were told that this replica is empty
-	founders  map[string]state.Member // empty replicas that answered
-	founded   bool                    // this process created the group and has told nobody yet
+	answered  map[uint64]bool    // incarnations that were told that this replica is empty
+	founders  map[string]founder // empty replicas that answered
+	founded   bool               // this process created the group and has told nobody yet
 
 	held   []heldMessage
 	outbox []Message
@@ -132,7 +133,7 @@
 		cfg: c, self: c.Self, now: now,
 		term: c.HardState.Term, vote: c.HardState.Vote,
 		snapshot: c.Snapshot,
-		allowed:  map[string]bool{}, answered: map[uint64]bool{}, founders: map[string]state.Member{},
+		allowed:  map[string]bool{}, answered: map[uint64]bool{}, founders: map[string]founder{},
 		nonce: c.Rand.Uint64(), joinAt: now,
 		// A replica may have acknowledged a heartbeat just before it was restarted.
 		// It waits as if it had, or the leader's lease could be violated.
@@ -367,3 +368,6 @@
 
 // Committed returns the index of the last entry known to be committed.
 func (g *Group) Committed() uint64 { return g.commit }
+
+// GroupID returns the ID of the group this replica belongs to or is joining, or 0.
+func (g *Group) GroupID() uint64 { return g.groupID() }
--- a/coordination/replication/membership.go
+++ b/coordination/replication/membership.go
@@ -147,7 +147,9 @@
 }
 
 // nextVoters returns the voters after the next change for one peer. A learner
-// replaces an earlier incarnation of its name in two steps.
+// replaces an earlier incarnation of its name in two steps. The earlier one must
+// be silent: to remove a voter that answers could cost the group its majority if
+// another one fails at that moment.
 func (g *Group) nextVoters(p *progress) ([]state.Member, bool) {
 	if v := g.voter(p.member.Incarnation); v != nil {
 		if *v == p.member {
@@ -155,15 +157,27 @@
 		}
 		return with(g.voters(), p.member), true
 	}
-	if !p.learner || p.match < g.termStart || p.match+maxLearnerLag < g.log.last() {
+	if !p.learner || !g.caughtUp(p) {
 		return nil, false
 	}
-	if g.membership().Find(p.member.Name) != nil {
-		return without(g.voters(), p.member.Name), true
+	if old := g.membership().Find(p.member.Name); old != nil {
+		return without(g.voters(), old.Name), g.isSilent(old)
 	}
 	return with(g.voters(), p.member), true
 }
 
+func (g *Group) isSilent(v *state.Member) bool {
+	last := g.electedAt
+	if p := g.peer(v.Incarnation); p != nil && p.hasAck {
+		last = max(last, p.acked)
+	}
+	return g.now-last >= contactTimeout
+}
+
+func (g *Group) caughtUp(p *progress) bool {
+	return p.match >= g.termStart && p.match+maxLearnerLag >= g.log.last()
+}
+
 // change appends a membership, unless a majority of it is out of contact: the
 // group could then not commit the change, nor anything else.
 func (g *Group) change(voters []state.Member) bool {
--- a/coordination/replication/message.go
+++ b/coordination/replication/message.go
@@ -12,7 +12,7 @@
 // Message types. The values are not stable across releases; encodings use names.
 const (
 	MsgJoin            MessageType = iota + 1 // Member, Nonce, Known: asks for the group and for admission to it
-	MsgJoinResponse                           // Member, Known, Nonce, Entries: founding entry if the joiner is listed in it
+	MsgJoinResponse                           // Member, Known, Nonce, Members, Entries: founding entry if the joiner is listed in it
 	MsgPreVote                                // Term: the term a vote would be for; Index, LogTerm: last entry
 	MsgPreVoteResponse                        // Reject
 	MsgVote                                   // Index, LogTerm: last entry; Transfer
@@ -71,6 +71,7 @@
 	Known    bool // the sender belongs to a group
 	Nonce    uint64
 	Member   *state.Member
+	Members  []state.Member // the voters
 	Entries  []state.Entry
 	Snapshot *state.Snapshot
 }
--- /dev/null
+++ b/coordination/replication/replicationtest/network.go
@@ -0,0 +1,94 @@
+package replicationtest
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/replication"
+)
+
+// Network delivers messages between processes. Links are named by the addresses
+// of their ends.
+type Network struct {
+	Drop      float64       // part of the messages that is lost
+	Duplicate float64       // part that is delivered twice
+	Late      float64       // part that is delayed by up to MaxLate
+	MaxLate   time.Duration // see Late
+	Reorder   bool          // messages of one link may overtake each other
+
+	c     *Cluster
+	cuts  map[[2]string]bool
+	since map[[2]string]time.Duration // delivery time of the last message on a link
+}
+
+func newNetwork(c *Cluster) Network {
+	return Network{c: c, cuts: map[[2]string]bool{}, since: map[[2]string]time.Duration{}}
+}
+
+// Cut drops everything sent from one address to another.
+func (n *Network) Cut(from, to string) { n.cuts[[2]string{from, to}] = true }
+
+// CutBoth cuts both directions.
+func (n *Network) CutBoth(a, b string) {
+	n.Cut(a, b)
+	n.Cut(b, a)
+}
+
+// Isolate cuts an address from all others.
+func (n *Network) Isolate(address string) {
+	for _, p := range n.c.procs {
+		if p.Self.Address != address {
+			n.CutBoth(address, p.Self.Address)
+		}
+	}
+}
+
+// Heal removes all cuts and stops the random faults.
+func (n *Network) Heal() {
+	n.cuts = map[[2]string]bool{}
+	n.Drop, n.Duplicate, n.Late, n.Reorder = 0, 0, 0, false
+}
+
+func (n *Network) send(from *Process, m replication.Message) {
+	n.c.Messages[m.Type]++
+	to := m.ToAddress
+	if to == "" {
+		to = n.c.resolve(m.To)
+	}
+	link := [2]string{from.Self.Address, to}
+	if n.cuts[link] || n.c.rng.Float64() < n.Drop {
+		n.c.Dropped++
+		return
+	}
+	n.schedule(link, m)
+	if n.c.rng.Float64() < n.Duplicate {
+		n.schedule(link, m)
+	}
+}
+
+func (n *Network) schedule(link [2]string, m replication.Message) {
+	at := n.c.now + n.c.rng.Between(n.c.opt.MinDelay, n.c.opt.MaxDelay)
+	if n.c.rng.Float64() < n.Late {
+		at += n.c.rng.Between(0, n.MaxLate)
+	}
+	if !n.Reorder {
+		at = max(at, n.since[link])
+		n.since[link] = at
+	}
+	n.c.at(at, func() {
+		if p := n.c.Process(link[1]); p != nil && !n.cuts[link] {
+			p.receive(m)
+		} else {
+			n.c.Dropped++
+		}
+	})
+}
+
+// resolve returns the address that the settings give for a name.
+func (c *Cluster) resolve(name string) string {
+	for i := len(c.procs) - 1; i >= 0; i-- {
+		if c.procs[i].Self.Name == name {
+			return c.procs[i].Self.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/coordination/replication/replicationtest/process.go
@@ -0,0 +1,272 @@
+package replicationtest
+
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/replication"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Process runs one replica. It may be running, paused or down.
+type Process struct {
+	Self  state.Member
+	Group *replication.Group // nil while the process is down
+
+	c       *Cluster
+	epoch   int // counts starts, so that events of an earlier run are ignored
+	paused  bool
+	waiting []func() // events that arrived during a pause
+	retired bool     // replaced for good
+	started time.Duration
+	rate    float64 // of its clock
+	tickAt  time.Duration
+	disk    disk
+
+	applied  uint64
+	state    uint64 // digest of the applied entries
+	log      memoryLog
+	lastSnap uint64
+}
+
+// disk holds what a crash leaves behind, and the saves that are not synced.
+type disk struct {
+	hard     state.HardState
+	snapshot *state.Snapshot
+	entries  []state.Entry
+	pending  []replication.Ready
+}
+
+func (c *Cluster) newProcess(name, address string, hasDisk bool) *Process {
+	p := &Process{c: c, Self: state.Member{Name: name, Address: address, Disk: hasDisk, Incarnation: c.rng.Uint64()}}
+	c.procs = append(c.procs, p)
+	return p
+}
+
+// Start adds a process, for example a replacement with a new address.
+func (c *Cluster) Start(name, address string, hasDisk bool) *Process {
+	p := c.newProcess(name, address, hasDisk)
+	c.start(p)
+	return p
+}
+
+func (c *Cluster) start(p *Process) {
+	p.epoch++
+	p.paused, p.waiting = false, nil
+	p.started, p.rate = c.now, 1+c.opt.Drift*(2*c.rng.Float64()-1)
+	p.tickAt = -1
+	p.applied, p.state, p.lastSnap, p.log = 0, 0, 0, memoryLog{}
+	if s := p.disk.snapshot; s != nil {
+		p.restore(s)
+	}
+	for _, e := range p.disk.entries {
+		p.log.add(e)
+	}
+	p.Group = replication.New(replication.Config{
+		Group: c.opt.Group, Self: p.Self, Rand: NewRand(c.rng.Uint64()),
+		HardState: p.disk.hard, Snapshot: p.disk.snapshot, Entries: slices.Clone(p.disk.entries),
+		Bootstrap: c.founders,
+	}, 0)
+	p.pump()
+}
+
+// Now returns the time by the process's own clock.
+func (p *Process) Now() time.Duration {
+	return time.Duration(float64(p.c.now-p.started) * p.rate)
+}
+
+// Running reports whether the process is neither down nor paused.
+func (p *Process) Running() bool { return p.Group != nil && !p.paused }
+
+// Down reports whether the process has crashed.
+func (p *Process) Down() bool { return p.Group == nil }
+
+// Paused reports whether the process is paused.
+func (p *Process) Paused() bool { return p.paused }
+
+// Pause stops the process from handling anything. Its clock goes on.
+func (p *Process) Pause() { p.paused = p.Group != nil }
+
+// Resume continues a paused process. It first handles what arrived meanwhile.
+func (p *Process) Resume() {
+	if !p.paused {
+		return
+	}
+	p.paused = false
+	waiting := p.waiting
+	p.waiting = nil
+	for _, run := range waiting {
+		p.do(run)
+	}
+	p.pump()
+}
+
+// Crash ends the process. Of the saves that were not reported as synced, the disk
+// keeps a random number of the first ones.
+func (p *Process) Crash() {
+	if p.Group == nil {
+		return
+	}
+	p.epoch++
+	p.Group, p.paused, p.waiting = nil, false, nil
+	if n := len(p.disk.pending); n > 0 {
+		for _, r := range p.disk.pending[:p.c.rng.Intn(n+1)] {
+			p.disk.write(r)
+		}
+	}
+	p.disk.pending = nil
+	if !p.Self.Disk {
+		p.Wipe()
+	}
+}
+
+// Wipe makes a process that is down lose its storage and thus its incarnation.
+func (p *Process) Wipe() {
+	p.disk = disk{}
+	p.Self.Incarnation = p.c.rng.Uint64()
+}
+
+// Restart starts a process that is down with what its disk holds.
+func (p *Process) Restart() {
+	if p.Group == nil {
+		p.c.start(p)
+	}
+}
+
+// do runs one event of the process, or keeps it for the end of a pause.
+func (p *Process) do(run func()) {
+	if p.Group == nil {
+		return
+	}
+	if p.paused {
+		p.waiting = append(p.waiting, run)
+		return
+	}
+	p.c.Steps++
+	run()
+	p.pump()
+}
+
+func (p *Process) receive(m replication.Message) {
+	p.do(func() {
+		if p.Group.Step(p.Now(), m) != nil {
+			p.c.Refused++
+		}
+	})
+}
+
+// Do runs an action of a test on the replica and handles its output.
+func (p *Process) Do(action func(g *replication.Group, now time.Duration)) {
+	if p.Running() {
+		action(p.Group, p.Now())
+		p.pump()
+	}
+}
+
+// pump handles the output of the replica until there is none.
+func (p *Process) pump() {
+	for {
+		r := p.Group.Ready()
+		if r.Snapshot != nil {
+			p.restore(r.Snapshot)
+		}
+		p.c.check.ready(p, &r)
+		for _, m := range r.Messages {
+			p.c.Net.send(p, m)
+		}
+		for _, e := range r.Committed {
+			p.apply(e)
+		}
+		if r.Batch != 0 {
+			p.save(r)
+		}
+		p.takeSnapshot()
+		if r.Batch == 0 && len(r.Messages) == 0 && len(r.Committed) == 0 {
+			break
+		}
+	}
+	p.c.check.leases(p.c)
+	p.scheduleTick()
+}
+
+func (p *Process) save(r replication.Ready) {
+	if !p.Self.Disk {
+		p.Group.Persisted(r.Batch)
+		return
+	}
+	p.disk.pending = append(p.disk.pending, r)
+	epoch := p.epoch
+	p.c.at(p.c.now+p.c.rng.Between(p.c.opt.MaxSync/10, p.c.opt.MaxSync), func() {
+		if p.epoch == epoch {
+			p.do(func() { p.synced(r.Batch) })
+		}
+	})
+}
+
+func (p *Process) synced(batch uint64) {
+	for len(p.disk.pending) > 0 && p.disk.pending[0].Batch <= batch {
+		p.disk.write(p.disk.pending[0])
+		p.disk.pending = p.disk.pending[1:]
+	}
+	p.Group.Persisted(batch)
+}
+
+func (d *disk) write(r replication.Ready) {
+	if r.Snapshot != nil {
+		d.snapshot, d.entries = r.Snapshot, nil
+	}
+	if r.HardState != nil {
+		d.hard = *r.HardState
+	}
+	if len(r.Entries) > 0 {
+		first := r.Entries[0].Index
+		n := slices.IndexFunc(d.entries, func(e state.Entry) bool { return e.Index >= first })
+		if n >= 0 {
+			d.entries = d.entries[:n:n]
+		}
+		d.entries = append(d.entries, r.Entries...)
+	}
+}
+
+func (p *Process) apply(e state.Entry) {
+	p.applied, p.state = e.Index, digest(p.state, e)
+	p.c.check.applied(p, e)
+}
+
+func (p *Process) restore(s *state.Snapshot) {
+	p.applied, p.state, p.lastSnap = s.Index, uint64(s.Domain.HorizonS), s.Index
+	p.log = memoryLog{first: s.Index, base: p.state}
+}
+
+// takeSnapshot saves a snapshot of the applied entries when one is due.
+func (p *Process) takeSnapshot() {
+	if p.applied < p.lastSnap+p.c.opt.SnapshotEvery {
+		return
+	}
+	s := p.Group.SnapshotHeader()
+	s.Domain = &state.DomainSnapshot{Applied: s.Index, HorizonS: int64(p.state)}
+	p.lastSnap = s.Index
+	if len(p.disk.pending) == 0 {
+		p.disk.snapshot = &s
+		p.disk.entries = slices.DeleteFunc(slices.Clone(p.disk.entries), func(e state.Entry) bool { return e.Index <= s.Index })
+	}
+	p.Group.SnapshotTaken(&s)
+}
+
+// scheduleTick arranges the next call of Tick.
+func (p *Process) scheduleTick() {
+	local := p.Group.NextTick()
+	at := p.started + time.Duration(float64(local)/p.rate) + 1 // rounded up
+	if at == p.tickAt {
+		return
+	}
+	p.tickAt = at
+	epoch := p.epoch
+	p.c.at(at, func() {
+		if p.epoch != epoch || p.tickAt != at {
+			return
+		}
+		p.tickAt = -1
+		p.do(func() { p.Group.Tick(p.Now()) })
+	})
+}
