--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -273,3 +273,7 @@
 	}
 	return out
 }
+
+// Visited returns how many endpoints and racks the searches have looked at, a
+// measure of control cost that does not depend on the machine.
+func (s *planner) Visited() uint64 { return s.runners.Visited + s.workers.Visited }
