scheduling: make the closures of a plan once

Cause: a profile showed that method values, visitors and filters made in each plan were most of the scheduler's allocations. Change: the ways to serve a band, the visitors of a search and the filter of an item are made once and reused. What remains when saturated is the search for a reservation, once a second.

--- a/coordination/placement/pool.go
+++ b/coordination/placement/pool.go
@@ -30,6 +30,7 @@
 	sizes    map[state.Resources]int // capacities of all known nodes
 	free     state.Resources         // available on the indexed nodes
 	ids      uint64
+	search   *search
 
 	// Visited counts the nodes and racks that searches looked at.
 	Visited uint64
@@ -50,13 +51,15 @@
 
 // NewPool returns an empty pool.
 func NewPool(kind state.EndpointKind) *Pool {
-	return &Pool{
+	p := &Pool{
 		kind:     kind,
 		nodes:    map[string]*Node{},
 		racks:    map[string]*rack{},
 		rackTree: btree.NewG(treeDegree, rackLess),
 		sizes:    map[state.Resources]int{},
 	}
+	p.search = newSearch(p)
+	return p
 }
 
 // Node returns the named node, or nil.
@@ -242,6 +245,9 @@
 
 // above returns the lowest used level that is at least from, or -1.
 func (s *shelf) above(from int) int {
+	if from >= levels {
+		return -1
+	}
 	for w := from / 64; w < len(s.used); w++ {
 		m := s.used[w]
 		if w == from/64 {
@@ -256,6 +262,9 @@
 
 // below returns the highest used level that is at most from, or -1.
 func (s *shelf) below(from int) int {
+	if from < 0 {
+		return -1
+	}
 	for w := from / 64; w >= 0; w-- {
 		m := s.used[w]
 		if w == from/64 {
--- a/coordination/placement/search.go
+++ b/coordination/placement/search.go
@@ -13,31 +13,62 @@
 	return nil
 }
 
-func (p *Pool) bestFit(sh *shelf, need state.Resources, f Filter, s Scorer) *Node {
-	var best *Node
-	var bestScore float64
-	found := 0
-	pivot := &Node{secondary: int64(need.MemoryMB)}
-	visit := func(n *Node) bool {
-		p.Visited++
-		if !need.FitsIn(n.Available()) || !f.Allows(n) {
+// search is the state of one search. It is kept with the pool, and its visitors are
+// made once, since a closure costs an allocation.
+type search struct {
+	pool  *Pool
+	need  state.Resources
+	f     Filter
+	s     Scorer
+	pivot Node
+
+	best  *Node
+	score float64
+	found int
+
+	scoreNode func(*Node) bool
+	takeFirst func(*Node) bool
+}
+
+func newSearch(p *Pool) *search {
+	x := &search{pool: p}
+	x.scoreNode = func(n *Node) bool {
+		if !x.admits(n) {
 			return true
 		}
-		if score := s.Score(n, need); best == nil || score < bestScore {
-			best, bestScore = n, score
+		if score := x.s.Score(n, x.need); x.best == nil || score < x.score {
+			x.best, x.score = n, score
 		}
-		found++
-		return found < candidates
+		x.found++
+		return x.found < candidates
 	}
-	from := min(levels-1, p.primary(need))
-	for lv := sh.above(from); lv >= 0 && lv < levels && found < candidates; {
-		sh.trees[lv].AscendGreaterOrEqual(pivot, visit)
-		if lv == levels-1 {
-			break
+	x.takeFirst = func(n *Node) bool {
+		if x.admits(n) {
+			x.best = n
 		}
-		lv = sh.above(lv + 1)
+		return x.best == nil
+	}
+	return x
+}
+
+func (x *search) start(need state.Resources, f Filter, s Scorer) {
+	x.need, x.f, x.s = need, f, s
+	x.best, x.found = nil, 0
+}
+
+func (x *search) admits(n *Node) bool {
+	x.pool.Visited++
+	return x.need.FitsIn(n.Available()) && x.f.Allows(n)
+}
+
+func (p *Pool) bestFit(sh *shelf, need state.Resources, f Filter, s Scorer) *Node {
+	x := p.search
+	x.start(need, f, s)
+	x.pivot.secondary = int64(need.MemoryMB)
+	for lv := sh.above(min(levels-1, p.primary(need))); lv >= 0 && x.found < candidates; lv = sh.above(lv + 1) {
+		sh.trees[lv].AscendGreaterOrEqual(&x.pivot, x.scoreNode)
 	}
-	return best
+	return x.best
 }
 
 // MostFree returns the node with the most free capacity, the fastest of equal
@@ -52,21 +83,11 @@
 }
 
 func (p *Pool) mostFree(sh *shelf, need state.Resources, f Filter) *Node {
-	var found *Node
-	visit := func(n *Node) bool {
-		p.Visited++
-		if need.FitsIn(n.Available()) && f.Allows(n) {
-			found = n
-		}
-		return found == nil
-	}
+	x := p.search
+	x.start(need, f, nil)
 	lowest := min(levels-1, p.primary(need))
-	for lv := sh.below(levels - 1); lv >= lowest && lv >= 0 && found == nil; {
-		sh.trees[lv].Descend(visit)
-		if lv == 0 {
-			break
-		}
-		lv = sh.below(lv - 1)
+	for lv := sh.below(levels - 1); lv >= lowest && lv >= 0 && x.best == nil; lv = sh.below(lv - 1) {
+		sh.trees[lv].Descend(x.takeFirst)
 	}
-	return found
+	return x.best
 }
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -86,8 +86,29 @@
 	reason  string // why a group of the queue waits when find returns nil
 }
 
+// picks holds the ways to serve each band. They are made once, since a method value
+// costs an allocation.
+type picks struct {
+	prompt, least, promoted, leftover pick
+	service, batch                    pick
+}
+
+func (s *planner) newPicks() picks {
+	const noSlot = "no runner has a free slot that would finish it in time"
+	const noRoom = "no worker has enough free capacity"
+	always := func(*queue.Lane, *job) (ok, stop bool) { return true, false }
+	return picks{
+		prompt:   pick{allowed: s.promptAllowed, find: s.findPrompt, reason: noSlot},
+		least:    pick{allowed: s.leastAllowed, find: s.findLeisurely, reason: noSlot},
+		promoted: pick{allowed: s.promotedAllowed, find: s.findLeisurely, reason: noSlot},
+		leftover: pick{allowed: s.leftoverAllowed, find: s.findLeisurely, reason: noSlot},
+		service:  pick{allowed: always, find: s.findForService, reason: noRoom},
+		batch:    pick{allowed: always, find: s.findForBatch, reason: noRoom},
+	}
+}
+
 // serve starts tasks of a queue in its order until nothing more can start.
-func (s *planner) serve(b *batch, bd band, p pick) {
+func (s *planner) serve(b *batch, bd band, p *pick) {
 	q := s.queues[bd]
 	for b.left > 0 && s.tries > 0 {
 		l := q.Best()
@@ -179,7 +200,7 @@
 const stragglerMargin = 2
 
 // Allows implements placement.Filter.
-func (f timely) Allows(n *placement.Node) bool {
+func (f *timely) Allows(n *placement.Node) bool {
 	if n.Tier() < placement.TierSlow {
 		return f.avoids.Allows(n)
 	}
@@ -196,11 +217,16 @@
 		return max(1, s.clock.Now)
 	}
 	at := int64(0)
-	for _, next := range [...]func() (int64, bool){s.delayed.Next, s.aging.Next, s.expiry.Next, s.trials.Next, s.gangs.next} {
-		if t, ok := next(); ok && (at == 0 || t < at) {
+	earliest := func(t int64, ok bool) {
+		if ok && (at == 0 || t < at) {
 			at = t
 		}
 	}
+	earliest(s.delayed.Next())
+	earliest(s.aging.Next())
+	earliest(s.expiry.Next())
+	earliest(s.trials.Next())
+	earliest(s.gangs.next())
 	if at == 0 {
 		return 0
 	}
--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -46,6 +46,8 @@
 	more     bool  // the last plan reached its bound
 	tries    int   // failed attempts left in this plan
 	setAside []parkedLane
+	picks    picks
+	filter   timely // reused by each search
 }
 
 type parkedLane struct {
@@ -81,6 +83,7 @@
 	for b := range s.queues {
 		s.queues[b] = queue.New(bandOrder[b])
 	}
+	s.picks = s.newPicks()
 	return s
 }
 
--- a/coordination/scheduling/slots.go
+++ b/coordination/scheduling/slots.go
@@ -83,16 +83,12 @@
 // least share before it.
 func (s *planner) planSlots(b *batch) {
 	s.notePeak(b.clock.WallMS)
-	const noSlot = "no runner has a free slot that would finish it in time"
-	prompt := pick{allowed: s.promptAllowed, find: s.findPrompt, reason: noSlot}
-	least := pick{allowed: s.leastAllowed, find: s.findLeisurely, reason: noSlot}
-	leftover := pick{allowed: s.leftoverAllowed, find: s.findLeisurely, reason: noSlot}
-	promoted := pick{allowed: s.promotedAllowed, find: s.findLeisurely, reason: noSlot}
-	s.serve(b, bandPromoted, least)
-	s.serve(b, bandUrgent, prompt)
-	s.serve(b, bandInteractive, prompt)
-	s.serve(b, bandPromoted, promoted)
-	s.serve(b, bandDeferrable, leftover)
+	p := &s.picks
+	s.serve(b, bandPromoted, &p.least)
+	s.serve(b, bandUrgent, &p.prompt)
+	s.serve(b, bandInteractive, &p.prompt)
+	s.serve(b, bandPromoted, &p.promoted)
+	s.serve(b, bandDeferrable, &p.leftover)
 }
 
 func (s *planner) promptAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
@@ -121,8 +117,10 @@
 	return s.runners.MostFree(j.rec.PerTask, normalFirst, s.timely(c, j, it))
 }
 
+// timely returns the filter for an item. It is valid until the next call.
 func (s *planner) timely(c Clock, j *job, it *queue.Item) placement.Filter {
-	f := timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS}
+	f := &s.filter
+	*f = timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS}
 	if it.Task >= 0 {
 		f.avoids = j.rec.State[it.Task].FailedOn
 	}
--- a/coordination/scheduling/workers.go
+++ b/coordination/scheduling/workers.go
@@ -12,12 +12,10 @@
 // planWorkers serves the classes that run on workers. A reservation that is ready
 // is used first, since others wait for the capacity that it holds.
 func (s *planner) planWorkers(b *batch) {
-	const noRoom = "no worker has enough free capacity"
-	always := func(*queue.Lane, *job) (ok, stop bool) { return true, false }
 	s.useReservation(b)
-	s.serve(b, bandService, pick{allowed: always, find: s.findForService, reason: noRoom})
+	s.serve(b, bandService, &s.picks.service)
 	s.planGangs(b)
-	s.serve(b, bandBatch, pick{allowed: always, find: s.findForBatch, reason: noRoom})
+	s.serve(b, bandBatch, &s.picks.batch)
 	s.reserveForBlocked(b.clock)
 }
 
