scheduling: keep a reservation until it is clearly late

Cause: two gangs of half the cell did not start within 120 s under steady small work. The reservation moved whenever its start slipped, which gave away partly drained workers, and backfill was judged against the slipping start, so that each delay admitted work that caused the next one. Change: backfill is judged against the earliest plausible start when the reservation was made, which is never moved back. A reservation moves only after three times the expected wait or the upper estimate of what runs there. The second gang waits for a straggler whose speed is not known before its first task ends.

--- a/coordination/placement/node.go
+++ b/coordination/placement/node.go
@@ -44,7 +44,9 @@
 	Task    int
 	PerTask state.Resources
 	StartMS int64 // Unix milliseconds
-	EndMS   int64 // earliest plausible end, Unix milliseconds, or Forever
+	EndMS   int64 // expected, Unix milliseconds, or Forever
+	EarlyMS int64 // earliest plausible end; EndMS if the estimate is reliable
+	LateMS  int64 // end that is exceeded rarely
 }
 
 // remainsUntil returns when the task is expected to end. A task that has outlived
--- a/coordination/placement/reservation.go
+++ b/coordination/placement/reservation.go
@@ -18,6 +18,11 @@
 	PerTask state.Resources
 	Parts   []Part
 	StartMS int64 // expected start, Unix milliseconds
+	// PromiseMS is the earliest plausible start when the reservation was made. Shorter
+	// work may use the held capacity until then; it is never moved back, since each
+	// delay would otherwise admit work that causes the next one.
+	PromiseMS int64
+	LateMS    int64 // when all parts are free at the latest unless a node is far slower than known
 }
 
 type opening struct {
@@ -62,6 +67,8 @@
 	if tasks > 0 {
 		return nil
 	}
+	r.PromiseMS = r.freeAt(nowMS, func(t *Running) int64 { return min(t.EarlyMS, t.remainsUntil(nowMS)) })
+	r.LateMS = r.freeAt(nowMS, func(t *Running) int64 { return max(t.LateMS, t.remainsUntil(nowMS)) })
 	return r
 }
 
@@ -124,15 +131,22 @@
 	return false
 }
 
-// Refresh renews the expected start from what runs on the chosen nodes now.
-func (r *Reservation) Refresh(nowMS int64) {
-	r.StartMS = nowMS
+// Expected returns when all parts are expected to be free, judged by what runs on
+// them now.
+func (r *Reservation) Expected(nowMS int64) int64 {
+	return r.freeAt(nowMS, func(t *Running) int64 { return t.remainsUntil(nowMS) })
+}
+
+// freeAt returns when all parts are free if the tasks on them end as given.
+func (r *Reservation) freeAt(nowMS int64, end func(*Running) int64) int64 {
+	at := nowMS
 	for _, part := range r.Parts {
-		r.StartMS = max(r.StartMS, part.fitsAt(r.PerTask, nowMS))
+		at = max(at, part.fitsAt(r.PerTask, nowMS, end))
 	}
+	return at
 }
 
-func (part Part) fitsAt(perTask state.Resources, nowMS int64) int64 {
+func (part Part) fitsAt(perTask state.Resources, nowMS int64, end func(*Running) int64) int64 {
 	n := part.Node
 	need := perTask.Scale(part.Tasks)
 	free := n.Free()
@@ -140,27 +154,30 @@
 		return nowMS
 	}
 	ends := append([]Running(nil), n.Running...)
-	sort.Slice(ends, func(i, j int) bool { return ends[i].remainsUntil(nowMS) < ends[j].remainsUntil(nowMS) })
+	sort.Slice(ends, func(i, j int) bool { return end(&ends[i]) < end(&ends[j]) })
 	for i := range ends {
 		free = free.Add(ends[i].PerTask)
 		if need.FitsIn(free) {
-			return ends[i].remainsUntil(nowMS)
+			return end(&ends[i])
 		}
 	}
 	return Forever
 }
 
 // Backfill returns a node of the reservation on which a short task may use the
-// held capacity: the task must end, by a careful estimate, before the expected
-// start. runMS is the estimate at speed 1.
+// held capacity: the task must end, by a careful estimate, before the promised start.
+// runMS is the estimate at speed 1.
 func (r *Reservation) Backfill(need state.Resources, runMS, nowMS int64, f Filter) *Node {
+	if nowMS+runMS/2 > r.PromiseMS {
+		return nil // too late even for the fastest nodes
+	}
 	limit := min(len(r.Parts), backfillNodes)
 	for i := 0; i < limit; i++ {
 		n := r.Parts[i].Node
 		if !n.indexed || !need.FitsIn(n.Free()) || !f.Allows(n) {
 			continue
 		}
-		if nowMS+int64(float64(runMS)/n.Speed) <= r.StartMS {
+		if nowMS+int64(float64(runMS)/n.Speed) <= r.PromiseMS {
 			return n
 		}
 	}
--- a/coordination/scheduling/gang.go
+++ b/coordination/scheduling/gang.go
@@ -13,6 +13,11 @@
 	// blockedBatchMS is how long a batch task may be passed over by smaller ones
 	// before capacity is reserved for it.
 	blockedBatchMS = 10_000
+	// moveGraceMS and moveFactor bound how long a reservation stays on workers that are
+	// not free as expected: three times the expected wait. Within the usual error of
+	// estimates it is not moved, since the last tasks on a worker are about to end.
+	moveGraceMS = 3000
+	moveFactor  = 3
 	// gangTries bounds the gangs that one plan tries to place.
 	gangTries = 8
 )
@@ -22,6 +27,7 @@
 type gangState struct {
 	reservation *placement.Reservation
 	checkMS     int64 // time of the next check or attempt to reserve
+	moveMS      int64 // time from which the reservation may be moved
 	freed       bool  // capacity was freed since blocked gangs were tried
 }
 
@@ -69,20 +75,27 @@
 	return nil
 }
 
-// renewReservation moves the reservation if other workers would be free earlier.
+// renewReservation moves the reservation if it takes longer than was expected when
+// it was made, for example because one worker is far slower than was known. Workers
+// that are already drained stay in it, since they are the first to be free.
 func (s *planner) renewReservation(c Clock, j *job) {
 	r := s.gangs.reservation
-	before := r.StartMS
-	r.Refresh(c.WallMS)
-	if r.StartMS <= before {
+	if c.WallMS < s.gangs.moveMS {
 		return
 	}
+	expected, promise := r.Expected(c.WallMS), r.PromiseMS
 	s.workers.Drop(r)
-	if other := s.workers.PlanReservation(r.Key, r.PerTask, tasksOf(j), c.WallMS); other != nil && other.StartMS < r.StartMS {
-		r = other
+	s.gangs.reservation = nil
+	if s.tryReserve(c, j, tasksOf(j)) && s.gangs.reservation.StartMS < expected {
+		s.gangs.reservation.PromiseMS = min(promise, s.gangs.reservation.PromiseMS)
+		return
+	}
+	if other := s.gangs.reservation; other != nil {
+		s.workers.Drop(other)
 	}
 	s.workers.Acquire(r)
 	s.gangs.reservation = r
+	s.gangs.moveMS = c.WallMS + moveGraceMS
 }
 
 func tasksOf(j *job) int {
@@ -259,14 +272,16 @@
 // gangTiers leaves out stragglers: a gang is as slow as its slowest task.
 var gangTiers = []placement.Tier{placement.TierFast, placement.TierNormal, placement.TierSlow}
 
-func (s *planner) tryReserve(c Clock, j *job, n int) {
+func (s *planner) tryReserve(c Clock, j *job, n int) bool {
+	s.gangs.checkMS = c.WallMS + reservationCheckMS
 	r := s.workers.PlanReservation(j.rec.Key, j.rec.PerTask, n, c.WallMS)
 	if r == nil {
-		return
+		return false
 	}
 	s.workers.Acquire(r)
 	s.gangs.reservation = r
-	s.gangs.checkMS = c.WallMS + reservationCheckMS
+	s.gangs.moveMS = moveGraceMS + min(r.LateMS, c.WallMS+moveFactor*(r.StartMS-c.WallMS))
+	return true
 }
 
 // reserveForBlocked makes a reservation for the first gang that waits, or else for
@@ -292,7 +307,6 @@
 	if first == nil {
 		return
 	}
-	s.gangs.checkMS = c.WallMS + reservationCheckMS
 	j, _ := s.taskOf(first)
 	s.tryReserve(c, j, tasksOf(j))
 }
--- a/coordination/scheduling/jobs.go
+++ b/coordination/scheduling/jobs.go
@@ -209,11 +209,14 @@
 	if n == nil {
 		return
 	}
-	end := placement.Forever
+	run := placement.Running{Key: r.Key, Task: i, PerTask: r.PerTask, StartMS: t.AssignedMS, EndMS: placement.Forever, EarlyMS: placement.Forever, LateMS: placement.Forever}
 	if r.Class != state.ClassService {
-		end = t.AssignedMS + int64(float64(j.est.RunMS)*j.est.Reliability/n.Speed)
+		expected := float64(j.est.RunMS) / n.Speed
+		run.EndMS = t.AssignedMS + int64(expected)
+		run.EarlyMS = t.AssignedMS + int64(expected*j.est.Reliability)
+		run.LateMS = t.AssignedMS + int64(float64(j.est.UpperMS)/n.Speed)
 	}
-	n.AddRunning(placement.Running{Key: r.Key, Task: i, PerTask: r.PerTask, StartMS: t.AssignedMS, EndMS: end})
+	n.AddRunning(run)
 	s.countRack(j, n, 1)
 }
 
