--- a/coordination/scheduling/schedulingbench/baseline.go
+++ b/coordination/scheduling/schedulingbench/baseline.go
@@ -12,7 +12,7 @@
 // of their arrival, on the first endpoint by name that has room. It has no admission
 // limit, does not borrow quota and never quarantines.
 type Baseline struct {
-	passOver  bool // try later requests when one does not fit
+	tries     int // requests that one plan finds not to fit before it stops
 	names     []string
 	endpoints map[string]*state.Endpoint
 	pending   map[string]state.Resources // of plans that are not settled
@@ -26,19 +26,19 @@
 	visits    uint64
 }
 
-// baselineScan bounds the requests that one plan of the baseline looks at, to keep
-// its runs short.
-const baselineScan = 256
+// baselineTries bounds the requests that a plan of the first-fit baseline passes
+// over, to keep its runs short.
+const baselineTries = 16
 
 // NewFCFS returns the baseline in which the first request blocks all others.
-func NewFCFS() *Baseline { return newBaseline(false) }
+func NewFCFS() *Baseline { return newBaseline(1) }
 
 // NewFirstFit returns the baseline in which later requests pass one that does not fit.
-func NewFirstFit() *Baseline { return newBaseline(true) }
+func NewFirstFit() *Baseline { return newBaseline(baselineTries) }
 
-func newBaseline(passOver bool) *Baseline {
+func newBaseline(tries int) *Baseline {
 	return &Baseline{
-		passOver: passOver, endpoints: map[string]*state.Endpoint{}, pending: map[string]state.Resources{},
+		tries: tries, endpoints: map[string]*state.Endpoint{}, pending: map[string]state.Resources{},
 		queued: map[state.Key]bool{}, records: map[state.Key]*state.Record{}, planned: map[state.TaskRef]bool{},
 		shares: map[string]state.Resources{}, own: map[string]state.Resources{}, plans: map[*state.Assign]*state.Record{},
 	}
@@ -121,27 +121,27 @@
 // Plan implements scheduling.Scheduler.
 func (b *Baseline) Plan(c scheduling.Clock) []*state.Assign {
 	var out []*state.Assign
-	kept := b.waiting[:0]
-	stopped := false
-	for i, k := range b.waiting {
+	var kept []state.Key // passed over
+	i, failed := 0, 0
+	for ; i < len(b.waiting) && failed < b.tries; i++ {
+		k := b.waiting[i]
 		r := b.records[k]
-		if r == nil || b.next(r) < 0 {
-			delete(b.queued, k)
-			continue
-		}
-		if !stopped {
+		if r != nil && b.next(r) >= 0 {
 			if a := b.place(c, r); a != nil {
 				out = append(out, a)
 			}
-			if b.next(r) < 0 {
-				delete(b.queued, k)
+			if b.next(r) >= 0 {
+				kept = append(kept, k)
+				failed++
 				continue
 			}
-			stopped = !b.passOver || i >= baselineScan
 		}
-		kept = append(kept, k)
+		delete(b.queued, k)
 	}
-	b.waiting = kept
+	// The requests that were passed over go back in front of the rest.
+	i -= len(kept)
+	copy(b.waiting[i:], kept)
+	b.waiting = b.waiting[i:]
 	return out
 }
 
--- a/coordination/scheduling/schedulingbench/scenario.go
+++ b/coordination/scheduling/schedulingbench/scenario.go
@@ -36,7 +36,9 @@
 // boundMS is the bound on the wait of deferrable work in the scenarios.
 const boundMS = 60_000
 
-var swing = Swing{Factor: 10, From: 20 * second, To: 40 * second, Ramp: 3 * second}
+// swing lasts longer than half of the bound of deferrable work, so that such work is
+// promoted at the crest.
+var swing = Swing{Factor: 10, From: 20 * second, To: 75 * second, Ramp: 3 * second}
 
 // claimsStreams are reviews, lookups and document checks, with a little work on the
 // workers.
@@ -100,14 +102,14 @@
 // Swinging raises the demand tenfold within three seconds.
 func Swinging(sh Shape) Scenario {
 	sc := Steady(sh)
-	sc.Name, sc.Swing, sc.Length = "swing", swing, 120*second
+	sc.Name, sc.Swing, sc.Length = "swing", swing, 150*second
 	return sc
 }
 
 // Cancelling cancels half of all requests that wait or run at one moment.
 func Cancelling(sh Shape) Scenario {
 	sc := Swinging(sh)
-	sc.Name, sc.CancelPart, sc.CancelAt = "cancellations", 0.5, 38*second
+	sc.Name, sc.CancelPart, sc.CancelAt = "cancellations", 0.5, 70*second
 	return sc
 }
 
