--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -15,14 +15,14 @@
 	Team, Kind string
 	Class      state.Class
 	Tasks      int           // at least 1
-	Run        time.Duration // learned run time of one task, 0 if unknown
+	Run        time.Duration // guarded run time of one task (not the median), 0 if unknown
 	Slack      time.Duration // from now to the deadline, 0 or less for no deadline
 }
 
 // Load is the load of one class.
 type Load struct {
 	Queued     int           // waiting tasks
-	QueuedWork time.Duration // sum of the learned run times of the waiting tasks
+	QueuedWork time.Duration // sum of the median learned run times of the waiting tasks
 	Running    int           // running tasks
 	Capacity   int           // tasks of the class that can run at once, with the running ones
 }
@@ -81,7 +81,7 @@
 	return c.checkRate(now, cl, r, loads[r.Class])
 }
 
-// Completed tells that a task of a class ended. run is the learned run time with
+// Completed tells that a task of a class ended. run is the median run time with
 // which it was counted in Load.QueuedWork: the rate at which such work is completed
 // shows the real capacity, also when the estimates are wrong.
 func (c *Controller) Completed(now time.Duration, name state.Class, run time.Duration) {
@@ -111,6 +111,10 @@
 	return Decision{Admit: true}
 }
 
+// waitMargin adds a fifth to the expected wait. A full queue admits requests up to
+// the limit, where without a margin half of them would be late.
+const waitMargin = 5
+
 // checkDeadline refuses what cannot finish in time. Without capacity the wait is
 // unknown, because endpoints may be joining, and only the run time is compared.
 func (c *Controller) checkDeadline(now time.Duration, cl *class, r Request, l Load) Decision {
@@ -122,6 +126,7 @@
 		return c.refuse(0, "the request runs for about %s and its deadline is in %s", round(own), round(r.Slack))
 	}
 	wait, known := cl.wait(now, l)
+	wait += wait / waitMargin
 	if !known || wait+own <= r.Slack {
 		return Decision{Admit: true}
 	}
--- a/coordination/admission/rate.go
+++ b/coordination/admission/rate.go
@@ -94,6 +94,6 @@
 		return Decision{Admit: true, Borrowed: true}
 	}
 	missing := (1 - kr.bucket.tokens) / kr.rate
-	return c.refuse(time.Duration(missing*float64(time.Second)),
+	return c.refuse(max(minRetry, time.Duration(missing*float64(time.Second))),
 		"team %s exceeds its rate of %g requests a second of kind %s", r.Team, kr.rate, r.Kind)
 }
