coordination: leaders follow the health tracker and learned estimates

Cause: silent endpoints were found by a scan and only silence changed their status; run times, retry budgets and blame used the scheduler's simple defaults. While the end of an endpoint's leases was in the log and not committed, its heartbeats were still answered, so its tasks could be queued again under a valid lease. Change: each leader owns a health.Tracker that asks for suspect, lost, flapping and quarantined; heartbeats of an endpoint whose loss is in the log are not answered. Package policy combines estimate, retry and health for the scheduler, and a new leader learns from the attempts kept in the state. Conclusion: admission by class loads is the part of policy not wired in yet.

--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/scheduling"
@@ -11,14 +13,10 @@
 	// heartbeatInterval is the period of endpoint heartbeats: about 0.3 KB/s for each
 	// endpoint, against a budget of 4 KB/s.
 	heartbeatInterval = 2 * time.Second
-	// suspectAfter is three missed heartbeats.
-	suspectAfter = 3 * heartbeatInterval
 	// taskLease is how long an endpoint may work after the sending of a heartbeat that
-	// was answered.
+	// was answered. health.LostAfter is longer by the clock drift and the time that an
+	// endpoint needs to stop its tasks.
 	taskLease = 10 * time.Second
-	// leaseMargin covers clock drift and the time that an endpoint needs to stop its
-	// tasks. Work is queued again only after lease and margin.
-	leaseMargin = time.Second
 	// startRetry is the delay before an unanswered start is sent again.
 	startRetry = 500 * time.Millisecond
 	// removeAfter is how long a lost endpoint is remembered, in milliseconds.
@@ -66,33 +64,31 @@
 }
 
 // renewLease answers a heartbeat. The answer is a lease, so it is given only by a
-// leader that still has its own.
+// leader that still has its own, and not while the end of the endpoint's leases is
+// in the log: its tasks would be queued again under a valid lease.
 func (n *Node) renewLease(r *replica, e Heartbeat, known *state.Endpoint) {
-	if r.lead == nil || !r.raft.HasLease(n.clock.Now) {
+	l := r.lead
+	if l == nil || !r.raft.HasLease(n.clock.Now) {
 		n.reply(e.Token, unavailable("the leader of "+r.group+" has no contact to a majority"))
 		return
 	}
-	r.lead.contact[known.Name] = n.clock.Now
-	n.reconcileStatus(r, e, known)
+	if c, ok := l.changes[known.Name]; ok && c.Status == state.EndpointLost {
+		n.reply(e.Token, unavailable("the end of the endpoint's leases is being committed"))
+		return
+	}
+	l.health.Answered(n.clock.Now, known.Name)
+	if e.Endpoint.Status == state.EndpointLeaving {
+		// A drain by an operator is not revoked by a heartbeat that says "ready".
+		l.health.Leaving(known.Name, true)
+	}
 	answer := Lease{
-		Term: r.lead.term, LeaseMS: taskLease.Milliseconds(), IntervalMS: heartbeatInterval.Milliseconds(),
+		Term: l.term, LeaseMS: taskLease.Milliseconds(), IntervalMS: heartbeatInterval.Milliseconds(),
 		LowWatermark: lowWatermark(r.domain, known), Stop: n.staleAttempts(r, e),
 		Assigner: n.publicAddress(n.self.Name),
 	}
 	n.reply(e.Token, Answer{Code: CodeOK, Lease: &answer})
 }
 
-// reconcileStatus follows what the endpoint says of itself. A drain by an operator
-// stays in force until the endpoint restarts.
-func (n *Node) reconcileStatus(r *replica, e Heartbeat, known *state.Endpoint) {
-	switch {
-	case e.Endpoint.Status == state.EndpointLeaving && known.Status != state.EndpointLeaving:
-		n.setEndpointStatus(r, known, state.EndpointLeaving, "")
-	case e.Endpoint.Status == state.EndpointReady && (known.Status == state.EndpointSuspect || known.Status == state.EndpointLost):
-		n.setEndpointStatus(r, known, state.EndpointReady, "")
-	}
-}
-
 // staleAttempts lists what an endpoint holds although the state does not, or
 // although it was cancelled.
 func (n *Node) staleAttempts(r *replica, e Heartbeat) []Running {
@@ -123,38 +119,49 @@
 	return low
 }
 
-func (n *Node) setEndpointStatus(r *replica, e *state.Endpoint, s state.EndpointStatus, actor string) {
+// followHealth proposes the changes of endpoint status that the tracker asks for.
+// A change stays in l.changes until it is committed.
+func (n *Node) followHealth(r *replica) {
+	l := r.lead
+	for _, t := range l.health.Transitions(n.clock.Now) {
+		c := &statusChange{Transition: t}
+		l.changes[t.Name] = c
+		n.proposeStatus(r, c)
+	}
+}
+
+func (n *Node) proposeStatus(r *replica, c *statusChange) {
+	l := r.lead
 	cmd := state.Command{EndpointStatus: &state.SetEndpointStatus{
-		AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation, Status: s, Actor: actor,
+		AtMS: n.clock.WallMS, Name: c.Name, Incarnation: c.Incarnation, Status: c.Status,
 	}}
-	n.propose(r, cmd, func(a state.Applied, committed bool) {
-		if committed && a.Rejected == nil {
-			n.log("info", "endpoint status", e.Name, "endpoint is now "+string(s))
+	c.proposed = n.propose(r, cmd, func(a state.Applied, committed bool) {
+		if !committed {
+			return // the leader has resigned, and its successor looks anew
+		}
+		if l.changes[c.Name] == c {
+			delete(l.changes, c.Name)
+		}
+		if a.Rejected == nil {
+			n.log("info", "endpoint status", c.Name, "endpoint is now "+string(c.Status))
 		}
 	})
 }
 
-// sweepEndpoints finds silent endpoints and acts on evidence of bad ones.
+// sweepEndpoints forgets endpoints that were lost long ago and does what earlier
+// steps could not propose.
 func (n *Node) sweepEndpoints(r *replica) {
-	l := r.lead
 	for _, e := range r.domain.Endpoints() {
-		at, ok := l.contact[e.Name]
-		if !ok {
-			at = l.since
+		if e.Status == state.EndpointLost && n.clock.WallMS-e.Since > removeAfterMS {
+			n.propose(r, state.Command{EndpointRemoved: &state.RemoveEndpoint{AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation}}, nil)
 		}
-		silent := n.clock.Now - at
-		switch {
-		case e.Status == state.EndpointLost:
-			if n.clock.WallMS-e.Since > removeAfterMS {
-				n.propose(r, state.Command{EndpointRemoved: &state.RemoveEndpoint{AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation}}, nil)
-			}
-		case silent > taskLease+leaseMargin:
-			n.setEndpointStatus(r, e, state.EndpointLost, "")
-		case silent > suspectAfter && e.Status != state.EndpointSuspect && e.Status != state.EndpointLeaving:
-			n.setEndpointStatus(r, e, state.EndpointSuspect, "")
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.lead.changes)) {
+		if c := r.lead.changes[name]; !c.proposed {
+			n.proposeStatus(r, c)
 		}
 	}
-	for _, s := range l.sched.EndpointTransitions(n.clock) {
+	for _, s := range r.lead.sched.EndpointTransitions(n.clock) {
 		n.propose(r, state.Command{EndpointStatus: s}, nil)
 	}
 }
--- a/coordination/health/quarantine.go
+++ b/coordination/health/quarantine.go
@@ -61,6 +61,16 @@
 	return e != nil && e.trialDue && e.status() == state.EndpointQuarantined
 }
 
+// TrialAt returns when the next trial task is due, 0 if one is due now or the
+// endpoint is not in quarantine.
+func (t *Tracker) TrialAt(name string) time.Duration {
+	e := t.endpoints[name]
+	if e == nil || !e.quarantined || e.trialDue {
+		return 0
+	}
+	return e.timer
+}
+
 // TrialStarted tells that a trial task was assigned. The next trial is due after
 // the interval even if this one never reports.
 func (t *Tracker) TrialStarted(now time.Duration, name string) {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -1,8 +1,11 @@
 package coordination
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/primrosereach/primrosereach/coordination/health"
 	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/state"
 )
@@ -25,7 +28,8 @@
 	since      time.Duration
 	sched      scheduling.Scheduler // nil in the cell group
 	starts     map[state.TaskRef]*dispatch
-	contact    map[string]time.Duration // last heartbeat answered, by endpoint
+	health     *health.Tracker
+	changes    map[string]*statusChange // not yet committed, by endpoint
 	announcing map[string]uint64        // incarnation whose Announce is in the log, by endpoint
 	waiters    map[state.Key][]Token    // calls that wait for a final record
 	waitingFor map[Token]state.Key
@@ -34,6 +38,12 @@
 	nextForget time.Duration
 }
 
+// statusChange is a change of endpoint status that the tracker asked for.
+type statusChange struct {
+	health.Transition
+	proposed bool
+}
+
 // dispatch is a start that its endpoint has not acknowledged.
 type dispatch struct {
 	start StartTask
@@ -45,6 +55,9 @@
 	if l.sched != nil {
 		wake = earlier(wake, l.sched.NextWake())
 	}
+	if at, ok := l.health.NextDeadline(); ok {
+		wake = earlier(wake, at)
+	}
 	return wake
 }
 
@@ -69,7 +82,7 @@
 func (n *Node) takeOver(r *replica, term uint64) {
 	l := &leadership{
 		term: term, since: n.clock.Now,
-		starts: map[state.TaskRef]*dispatch{}, contact: map[string]time.Duration{},
+		starts: map[state.TaskRef]*dispatch{}, health: health.New(), changes: map[string]*statusChange{},
 		announcing: map[string]uint64{}, waiters: map[state.Key][]Token{}, waitingFor: map[Token]state.Key{},
 		nextSweep: n.clock.Now + sweepInterval, nextForget: n.clock.Now + forgetInterval,
 	}
@@ -78,10 +91,10 @@
 	if r.domain == nil {
 		return
 	}
-	l.sched = n.cfg.NewScheduler()
+	l.sched = n.cfg.NewScheduler(l.health, history(r.domain))
 	l.sched.Configure(r.domain.Configuration().Configuration, r.domain.Shares())
 	for _, e := range r.domain.Endpoints() {
-		l.contact[e.Name] = n.clock.Now
+		l.health.Changed(n.clock.Now, e)
 		l.sched.EndpointChanged(n.clock, e)
 	}
 	for _, rec := range r.domain.OpenRecords() {
@@ -138,11 +151,33 @@
 		return
 	}
 	n.adoptConfiguration(r)
+	n.followHealth(r)
 	for _, plan := range l.sched.Plan(n.clock) {
 		n.proposePlan(r, plan)
 	}
 }
 
+// historyLength bounds the attempts that a new leader learns from.
+const historyLength = 5000
+
+// history returns the last attempts that ran to completion, oldest first.
+func history(d *state.Domain) []scheduling.Observation {
+	var out []scheduling.Observation
+	d.Records(func(rec *state.Record) bool {
+		for i := range rec.State {
+			if t := &rec.State[i]; t.Status == state.TaskDone {
+				out = append(out, scheduling.Observation{Record: rec, Task: i, Endpoint: t.Endpoint, RunMS: t.FinalMS - t.AssignedMS, Status: t.Status})
+			}
+		}
+		return true
+	})
+	slices.SortFunc(out, func(a, b scheduling.Observation) int {
+		return cmp.Or(cmp.Compare(a.Record.State[a.Task].FinalMS, b.Record.State[b.Task].FinalMS),
+			cmp.Compare(a.Record.ID, b.Record.ID), cmp.Compare(a.Task, b.Task))
+	})
+	return out[max(0, len(out)-historyLength):]
+}
+
 func (n *Node) proposePlan(r *replica, plan *state.Assign) {
 	sched := r.lead.sched
 	ok := n.propose(r, state.Command{Assign: plan}, func(a state.Applied, committed bool) {
@@ -202,7 +237,7 @@
 	}
 	if cmd.EndpointRemoved != nil && a.Rejected == nil {
 		l.sched.EndpointRemoved(cmd.EndpointRemoved.Name)
-		delete(l.contact, cmd.EndpointRemoved.Name)
+		l.health.Remove(cmd.EndpointRemoved.Name)
 	}
 	for _, rec := range a.Records {
 		l.sched.RecordChanged(n.clock, rec)
@@ -230,6 +265,7 @@
 		return
 	}
 	if a.Endpoint != nil {
+		r.lead.health.Changed(n.clock.Now, a.Endpoint)
 		r.lead.sched.EndpointChanged(n.clock, a.Endpoint)
 	}
 	if cmd.Assign != nil {
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primrosereach/primrosereach/coordination/health"
 	"github.com/primrosereach/primrosereach/coordination/replication"
 	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/state"
@@ -17,11 +18,14 @@
 
 // Config is the input of New.
 type Config struct {
-	Self         state.Member
-	Peers        []Peer // all entry processes of the settings, this one included
-	Recovered    map[string]Recovered
-	Rand         replication.Rand
-	NewScheduler func() scheduling.Scheduler
+	Self      state.Member
+	Peers     []Peer // all entry processes of the settings, this one included
+	Recovered map[string]Recovered
+	Rand      replication.Rand
+	// NewScheduler returns the scheduler of a new term. The tracker follows the health
+	// of the domain's endpoints; history holds attempts that ended before the term,
+	// oldest first.
+	NewScheduler func(t *health.Tracker, history []scheduling.Observation) scheduling.Scheduler
 }
 
 // Node is the control state of one entry process. It is used by one goroutine.
--- /dev/null
+++ b/coordination/policy/policy.go
@@ -0,0 +1,120 @@
+// Package policy combines the learned estimates, the retry budgets and the health
+// of endpoints into the options of a scheduler.
+package policy
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/estimate"
+	"github.com/primrosereach/primrosereach/coordination/health"
+	"github.com/primrosereach/primrosereach/coordination/retry"
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Rand is a source of random numbers.
+type Rand interface{ Uint64() uint64 }
+
+// Options returns the options of a new leader's scheduler. The tracker is shared
+// with the leader, which applies its transitions. history holds attempts that ended
+// before this term, oldest first, so that a new leader need not learn anew.
+func Options(t *health.Tracker, r Rand, history []scheduling.Observation) scheduling.Options {
+	e := &estimator{learned: estimate.New()}
+	for _, o := range history {
+		e.Observe(scheduling.Clock{}, o)
+	}
+	p := retry.New(uniform{r})
+	return scheduling.Options{Estimator: e, Retry: &retries{policy: p}, Health: &quarantine{tracker: t, retries: p}}
+}
+
+// uniform implements retry.Random.
+type uniform struct{ r Rand }
+
+// Float64 uses the 53 bits that a float64 holds exactly.
+func (u uniform) Float64() float64 { return float64(u.r.Uint64()>>11) / (1 << 53) }
+
+// estimator implements scheduling.Estimator.
+type estimator struct{ learned *estimate.Estimator }
+
+const (
+	// unknownRun is assumed of a kind that declares nothing and was never observed.
+	unknownRun = time.Second
+	// declaredMargin is how far declared run times are off at most.
+	declaredMargin = 10
+)
+
+// Estimate implements scheduling.Estimator.
+func (e *estimator) Estimate(r *state.Request) scheduling.Estimate {
+	p := e.learned.Predict(r.Team, r.Kind, r.EstimateMS)
+	if p.P50 == 0 {
+		p.P50 = unknownRun
+	}
+	if p.Samples == 0 {
+		p.P90 = declaredMargin * p.P50
+	}
+	return scheduling.Estimate{RunMS: p.P50.Milliseconds(), UpperMS: p.P90.Milliseconds(), Reliability: p.Reliability}
+}
+
+// Speed implements scheduling.Estimator.
+func (e *estimator) Speed(endpoint string) float64 { return e.learned.Speed(endpoint) }
+
+// Observe implements scheduling.Estimator. The run time of a service is how long it
+// was wanted, which says nothing about its endpoint.
+func (e *estimator) Observe(c scheduling.Clock, o scheduling.Observation) {
+	if o.Status != state.TaskDone || o.RunMS <= 0 || o.Record.Class == state.ClassService {
+		return
+	}
+	e.learned.Observe(c.Now, estimate.Observation{
+		Team: o.Record.Team, Kind: o.Record.Kind, Endpoint: o.Endpoint, DeclaredMS: o.Record.EstimateMS, RunMS: o.RunMS,
+	})
+}
+
+// retries implements scheduling.RetryPolicy.
+type retries struct{ policy *retry.Policy }
+
+// Advise implements scheduling.RetryPolicy.
+func (p *retries) Advise(c scheduling.Clock, o scheduling.Observation, endpointBad bool) scheduling.FailureAdvice {
+	r := o.Record
+	a := p.policy.Ended(c.Now, retry.AttemptOf(r, o.Task, o.Status, endpointBad))
+	out := scheduling.FailureAdvice{Requeue: a.Requeue, EndpointBad: a.EndpointBad}
+	if a.Requeue {
+		out.NotBeforeMS = c.WallMS + a.Delay.Milliseconds()
+	}
+	return out
+}
+
+// quarantine implements scheduling.HealthTracker over the leader's tracker. The
+// leader proposes the changes of status itself, with those that silence asks for.
+type quarantine struct {
+	tracker *health.Tracker
+	retries *retry.Policy // learns from the same observations
+}
+
+// Observe implements scheduling.HealthTracker. It reports whether the endpoint was
+// in quarantine, where a failure is expected.
+func (q *quarantine) Observe(c scheduling.Clock, o scheduling.Observation) bool {
+	trial := q.tracker.Status(o.Endpoint) == state.EndpointQuarantined
+	r := o.Record
+	if r.State[o.Task].Attempt == 1 {
+		q.retries.Started(c.Now, r.Team)
+	}
+	switch o.Status {
+	case state.TaskDone:
+		q.retries.Succeeded(c.Now, r.Team, r.Kind, o.Endpoint)
+		q.tracker.Succeeded(o.Endpoint)
+	case state.TaskFailed:
+		q.tracker.Failed(c.Now, o.Endpoint, o.Record.Key)
+	}
+	return trial
+}
+
+// Transitions implements scheduling.HealthTracker.
+func (q *quarantine) Transitions(scheduling.Clock) []scheduling.Transition { return nil }
+
+// TrialAt implements scheduling.HealthTracker.
+func (q *quarantine) TrialAt(endpoint string) time.Duration { return q.tracker.TrialAt(endpoint) }
+
+// TrialStarted implements scheduling.HealthTracker.
+func (q *quarantine) TrialStarted(c scheduling.Clock, endpoint string) {
+	q.tracker.TrialStarted(c.Now, endpoint)
+}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/primrosereach/primrosereach/coordination"
-	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/protocol/access"
 	"github.com/primrosereach/primrosereach/protocol/settings"
 	"github.com/primrosereach/primrosereach/state"
@@ -94,7 +93,7 @@
 	p.writer = persist.NewWriter(logs, p.loop)
 	p.node = coordination.New(coordination.Config{
 		Self: member, Peers: peers, Recovered: recovered, Rand: cryptoRand{},
-		NewScheduler: func() scheduling.Scheduler { return newScheduler() },
+		NewScheduler: newScheduler,
 	}, p.loop.Clock())
 	return nil
 }
--- a/transport/daemon/scheduler.go
+++ b/transport/daemon/scheduler.go
@@ -1,6 +1,12 @@
 package daemon
 
-import "github.com/primrosereach/primrosereach/coordination/scheduling"
+import (
+	"github.com/primrosereach/primrosereach/coordination/health"
+	"github.com/primrosereach/primrosereach/coordination/policy"
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+)
 
 // newScheduler returns the scheduler of a new leader.
-func newScheduler() scheduling.Scheduler { return scheduling.New(scheduling.Options{}) }
+func newScheduler(t *health.Tracker, history []scheduling.Observation) scheduling.Scheduler {
+	return scheduling.New(policy.Options(t, cryptoRand{}, history))
+}
