state: the log carries the change of a configuration, not all of it

Change: Configure and AdoptConfiguration carry the teams that differ; a change is against one version and rejected on any other. A change whose expected version is not the current one keeps its whole content, since an uncommitted change before it may make the expectation true.

--- a/coordination/configuration.go
+++ b/coordination/configuration.go
@@ -13,8 +13,14 @@
 		n.reply(e.Token, configured(first))
 		return
 	}
-	e.Configure.AtMS = n.clock.WallMS
-	ok := n.propose(r, state.Command{Configure: &e.Configure}, func(_ state.Applied, committed bool) {
+	change := e.Configure
+	change.AtMS = n.clock.WallMS
+	if now := r.cell.Configuration(); change.Expected == now.Version {
+		// With any other version the whole content is kept: an earlier change that is
+		// not committed yet may make the expectation true.
+		change.Change, change.Config = state.ChangeBetween(now.Configuration, change.Config), state.Configuration{}
+	}
+	ok := n.propose(r, state.Command{Configure: &change}, func(_ state.Applied, committed bool) {
 		result, known := r.cell.Result(e.Configure.ChangeID)
 		if !committed || !known {
 			n.reply(e.Token, unavailable("leadership of the cell group changed"))
@@ -51,12 +57,17 @@
 	if r.lead.adopting || newest.Version <= r.domain.Configuration().Version {
 		return
 	}
-	shares := make(map[string]state.Resources, len(newest.Configuration.Teams))
-	for team, t := range newest.Configuration.Teams {
+	adopted := r.domain.Configuration()
+	change := state.ChangeBetween(adopted.Configuration, newest.Configuration)
+	shares := make(map[string]state.Resources, len(change.Set))
+	for team, t := range change.Set {
 		shares[team] = share(t.Quota, r.domainName, n.domains)
 	}
+	cmd := state.Command{Adopt: &state.AdoptConfiguration{
+		AtMS: n.clock.WallMS, Config: state.VersionedConfiguration{Version: newest.Version}, Change: change, From: adopted.Version, Shares: shares,
+	}}
 	l := r.lead
-	l.adopting = n.propose(r, state.Command{Adopt: &state.AdoptConfiguration{AtMS: n.clock.WallMS, Config: newest, Shares: shares}}, func(a state.Applied, committed bool) {
+	l.adopting = n.propose(r, cmd, func(a state.Applied, committed bool) {
 		l.adopting = false
 		if committed && a.Rejected == nil {
 			n.log("info", "adopt configuration", "", r.group+" adopted a new configuration")
--- a/state/apply.go
+++ b/state/apply.go
@@ -1,6 +1,9 @@
 package state
 
-import "fmt"
+import (
+	"fmt"
+	"maps"
+)
 
 // Applied tells what a command changed.
 type Applied struct {
@@ -307,8 +310,22 @@
 	if c.Config.Version <= d.adopted.Version {
 		return Applied{Rejected: fmt.Errorf("configuration %d, in force %d: %w", c.Config.Version, d.adopted.Version, ErrOldVersion)}
 	}
-	d.adopted = c.Config
-	d.shares = c.Shares
+	if c.Change == nil {
+		d.adopted, d.shares = c.Config, c.Shares
+		return Applied{}
+	}
+	if c.From != d.adopted.Version {
+		return Applied{Rejected: fmt.Errorf("change against configuration %d, in force %d: %w", c.From, d.adopted.Version, ErrOldVersion)}
+	}
+	shares := maps.Clone(d.shares) // snapshots share the old map
+	for team, share := range c.Shares {
+		shares[team] = share
+	}
+	for _, team := range c.Change.Remove {
+		delete(shares, team)
+	}
+	d.adopted = VersionedConfiguration{Version: c.Config.Version, Configuration: d.adopted.Configuration.With(c.Change)}
+	d.shares = shares
 	return Applied{}
 }
 
--- a/state/cell.go
+++ b/state/cell.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"encoding/json"
 	"fmt"
 	"sort"
 	"strings"
@@ -79,8 +78,12 @@
 		c.addAudit(a)
 		return
 	}
-	a.Difference = Difference(c.current.Configuration, p.Config)
-	c.current = VersionedConfiguration{Version: c.current.Version + 1, Configuration: p.Config}
+	next := p.Config
+	if p.Change != nil {
+		next = c.current.Configuration.With(p.Change)
+	}
+	a.Difference = Difference(c.current.Configuration, next)
+	c.current = VersionedConfiguration{Version: c.current.Version + 1, Configuration: next}
 	c.author = p.Actor
 	c.remember(p.ChangeID, ConfigureResult{Applied: true, Version: c.current.Version, Author: c.author})
 	a.To, a.Result = c.current.Version, "applied"
@@ -156,7 +159,7 @@
 		switch {
 		case !ok:
 			lines = append(lines, "+ team "+name)
-		case !sameJSON(old, t):
+		case !old.equal(t):
 			lines = append(lines, teamDifference(name, old, t)...)
 		}
 	}
@@ -190,9 +193,3 @@
 	}
 	return lines
 }
-
-func sameJSON(a, b any) bool {
-	x, errA := json.Marshal(a)
-	y, errB := json.Marshal(b)
-	return errA == nil && errB == nil && string(x) == string(y)
-}
--- a/state/command.go
+++ b/state/command.go
@@ -120,8 +120,10 @@
 // unless its version is above the adopted one.
 type AdoptConfiguration struct {
 	AtMS   int64                  `json:"at_ms"`
-	Config VersionedConfiguration `json:"config"`
-	Shares map[string]Resources   `json:"shares"` // the domain's part of each team's quota
+	Config VersionedConfiguration `json:"config"`           // without content if Change is set
+	Change *ConfigurationChange   `json:"change,omitempty"` // against version From
+	From   uint64                 `json:"from,omitempty"`   // must be the adopted version if Change is set
+	Shares map[string]Resources   `json:"shares"`           // the domain's part of each changed team's quota
 }
 
 // Forget removes final records and moves the request horizon past them.
@@ -134,9 +136,13 @@
 type Configure struct {
 	AtMS     int64         `json:"at_ms"`
 	Actor    string        `json:"actor"`
-	ChangeID string        `json:"change_id"` // a resend carries the same one
-	Expected uint64        `json:"expected"`  // version that the operator saw
-	Config   Configuration `json:"config"`
+	ChangeID string        `json:"change_id"`       // a resend carries the same one
+	Expected uint64        `json:"expected"`        // version that the operator saw
+	Config   Configuration `json:"config,omitzero"` // the whole content, unless Change is set
+
+	// Change is against version Expected. The log carries it instead of Config: at 400
+	// teams the whole content is hundreds of kilobytes, a change mostly one team.
+	Change *ConfigurationChange `json:"change,omitempty"`
 }
 
 // Transfer records the grant of quota that one domain has given up and another
--- a/state/configuration.go
+++ b/state/configuration.go
@@ -1,5 +1,10 @@
 package state
 
+import (
+	"maps"
+	"slices"
+)
+
 // Configuration is the whole operator-visible configuration of a cell. It is
 // generated from the teams' questionnaires and replaced as a unit.
 type Configuration struct {
@@ -31,6 +36,48 @@
 	Configuration Configuration `json:"configuration"`
 }
 
+// ConfigurationChange is the difference between two configurations.
+type ConfigurationChange struct {
+	Set    map[string]TeamConfig `json:"set,omitempty"`    // teams that are new or different
+	Remove []string              `json:"remove,omitempty"` // teams, sorted
+}
+
+// ChangeBetween returns the change that makes from equal to to.
+func ChangeBetween(from, to Configuration) *ConfigurationChange {
+	c := &ConfigurationChange{Set: map[string]TeamConfig{}}
+	for name, t := range to.Teams {
+		if old, ok := from.Teams[name]; !ok || !old.equal(t) {
+			c.Set[name] = t
+		}
+	}
+	for name := range from.Teams {
+		if _, ok := to.Teams[name]; !ok {
+			c.Remove = append(c.Remove, name)
+		}
+	}
+	slices.Sort(c.Remove)
+	return c
+}
+
+// With returns the configuration after a change. The receiver is not changed.
+func (c Configuration) With(change *ConfigurationChange) Configuration {
+	out := Configuration{Teams: maps.Clone(c.Teams)}
+	if out.Teams == nil {
+		out.Teams = map[string]TeamConfig{}
+	}
+	for name, t := range change.Set {
+		out.Teams[name] = t
+	}
+	for _, name := range change.Remove {
+		delete(out.Teams, name)
+	}
+	return out
+}
+
+func (t TeamConfig) equal(o TeamConfig) bool {
+	return t.Quota == o.Quota && maps.Equal(t.Kinds, o.Kinds)
+}
+
 // AuditRecord tells of one attempt to change something.
 type AuditRecord struct {
 	Index      uint64 `json:"index"` // of the log entry
