--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// heartbeatInterval is the period of endpoint heartbeats: about 0.3 KB/s for each
+	// heartbeatInterval is the period of endpoint heartbeats: about 0.5 KB/s for each
 	// endpoint, against a budget of 4 KB/s.
 	heartbeatInterval = 2 * time.Second
 	// taskLease is how long an endpoint may work after the sending of a heartbeat that
--- a/coordination/topology.go
+++ b/coordination/topology.go
@@ -79,38 +79,47 @@
 	return names
 }
 
-// outsiders lists one process of each other domain, those of the same region
-// first. It starts after the domain in name order, so that neighbouring domains use
-// different processes as outside members.
+// outsiders lists the processes of the other domains: the first one of each, then
+// the second ones and so on, and within that those of the same region first. It
+// starts after the domain in name order, so that neighbouring domains use different
+// processes as outside members.
 func outsiders(domain, region string, peers []Peer) []string {
 	domains := Domains(peers)
 	at := sort.SearchStrings(domains, domain)
-	var near, far []string
-	for i := 1; i < len(domains); i++ {
-		p := firstOf(domains[(at+i)%len(domains)], peers)
-		if p.Region == region {
-			near = append(near, p.Name)
-		} else {
-			far = append(far, p.Name)
+	var names []string
+	for round := 0; len(names) < len(peers) && round < len(peers); round++ {
+		var near, far []string
+		for i := 1; i < len(domains); i++ {
+			of := processesOf(domains[(at+i)%len(domains)], peers)
+			switch {
+			case round >= len(of):
+			case of[round].Region == region:
+				near = append(near, of[round].Name)
+			default:
+				far = append(far, of[round].Name)
+			}
 		}
+		names = append(append(names, near...), far...)
 	}
-	return append(near, far...)
+	return names
 }
 
-// firstOf returns the domain's first process by name that has a disk, or its first
-// one if none has.
-func firstOf(domain string, peers []Peer) Peer {
-	var best Peer
+// processesOf returns the processes of a domain, those with a disk first, then by
+// name.
+func processesOf(domain string, peers []Peer) []Peer {
+	var out []Peer
 	for _, p := range peers {
-		if p.Domain != domain {
-			continue
-		}
-		better := p.Disk && !best.Disk || p.Disk == best.Disk && p.Name < best.Name
-		if best.Name == "" || better {
-			best = p
+		if p.Domain == domain {
+			out = append(out, p)
 		}
 	}
-	return best
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Disk != out[j].Disk {
+			return out[i].Disk
+		}
+		return out[i].Name < out[j].Name
+	})
+	return out
 }
 
 // share returns a domain's part of a team's quota. The parts of all domains add up
