--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -177,6 +177,12 @@
 		n.reply(e.Token, Answer{Code: CodeOK, Message: "the attempt is not the current one"})
 		return
 	}
+	if r.lead.reporting[e.Report.TaskRef] {
+		// The endpoint repeats a report whose answer was lost. The outcome was learned
+		// from when it came first.
+		n.reply(e.Token, unavailable("the report is being committed"))
+		return
+	}
 	n.endAttempt(r, e.Report, func(committed bool) {
 		if !committed {
 			n.reply(e.Token, unavailable("leadership of "+r.group+" changed"))
@@ -212,13 +218,15 @@
 			p.Requeue = true // the state queues it again only if that is safe and nobody cancelled it
 		}
 	}
+	l := r.lead
+	l.reporting[p.TaskRef] = true
 	ok := n.propose(r, state.Command{Report: &p}, func(a state.Applied, committed bool) {
-		if r.lead != nil {
-			delete(r.lead.starts, p.TaskRef)
-		}
+		delete(l.reporting, p.TaskRef)
+		delete(l.starts, p.TaskRef)
 		done(committed)
 	})
 	if !ok {
+		delete(l.reporting, p.TaskRef)
 		done(false)
 	}
 }
@@ -274,7 +282,7 @@
 	case StartDeclined:
 		p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
 		delete(r.lead.starts, e.Start.Ref)
-		if _, ok := currentTask(r.domain, &p); ok {
+		if _, ok := currentTask(r.domain, &p); ok && !r.lead.reporting[p.TaskRef] {
 			n.endAttempt(r, p, func(bool) {})
 		}
 	}
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -33,6 +33,7 @@
 	announcing map[string]uint64        // incarnation whose Announce is in the log, by endpoint
 	waiters    map[state.Key][]Token    // calls that wait for a final record
 	waitingFor map[Token]state.Key
+	reporting  map[state.TaskRef]bool // attempts whose report is in the log
 	adopting   bool
 	nextSweep  time.Duration
 	nextForget time.Duration
@@ -84,6 +85,7 @@
 		term: term, since: n.clock.Now,
 		starts: map[state.TaskRef]*dispatch{}, health: health.New(), changes: map[string]*statusChange{},
 		announcing: map[string]uint64{}, waiters: map[state.Key][]Token{}, waitingFor: map[Token]state.Key{},
+		reporting: map[state.TaskRef]bool{},
 		nextSweep: n.clock.Now + sweepInterval, nextForget: n.clock.Now + forgetInterval,
 	}
 	r.lead = l
