coordination: new IDs name a domain that has a leader

Cause: a process that had lost contact to its own domain's group went on issuing IDs that nobody could accept. Change: the step chooses the domain of a new ID. Conclusion: choosing by free capacity is not built yet; the design says so.

--- a/coordination/effect.go
+++ b/coordination/effect.go
@@ -111,6 +111,7 @@
 	RetryAfterMS int64
 	Redirect     *Redirect
 
+	Domain     string // for ChooseDomain
 	Record     *state.Record
 	WhyWaiting string
 	Records    []*state.Record
--- a/coordination/event.go
+++ b/coordination/event.go
@@ -50,6 +50,9 @@
 		Age        time.Duration
 	}
 
+	// ChooseDomain asks which failure domain a new request ID should name.
+	ChooseDomain struct{ Token Token }
+
 	// Lookup asks for a request's record. With Wait it is answered when the record is
 	// final or when the caller gives up.
 	Lookup struct {
@@ -134,6 +137,7 @@
 func (SnapshotSaved) event() {}
 func (StorageFailed) event() {}
 func (Submit) event()        {}
+func (ChooseDomain) event()  {}
 func (Lookup) event()        {}
 func (List) event()          {}
 func (CancelRequest) event() {}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -120,6 +120,8 @@
 		n.log("error", e.Step, "", "storage failed, this process acknowledges nothing more: "+e.Err.Error())
 	case Submit:
 		n.submit(e)
+	case ChooseDomain:
+		n.reply(e.Token, Answer{Code: CodeOK, Domain: n.chooseDomain()})
 	case Lookup:
 		n.lookup(e)
 	case List:
--- a/coordination/requests.go
+++ b/coordination/requests.go
@@ -84,6 +84,18 @@
 	return state.Member{Name: name}
 }
 
+// chooseDomain returns the domain that new request IDs should name: the process's
+// own, or another one whose group has a leader if its own has none. New work then
+// goes on although the process has lost contact to its own group.
+func (n *Node) chooseDomain() string {
+	for _, r := range append([]*replica{n.home}, n.hosted...) {
+		if leader, _ := r.raft.Leader(); leader != "" && r.domain != nil {
+			return r.domainName
+		}
+	}
+	return n.self.Domain
+}
+
 // ownerOfRequest is owner for the home domain of a request ID.
 func (n *Node) ownerOfRequest(k state.Key, t Token) (*replica, int64) {
 	domain, issued, err := k.ID.Parse()
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -192,7 +192,7 @@
 	p.peers = peer.NewClient(running, &http.Client{Transport: p.tls.transport()}, p.tls.scheme(), p.access.OwnPeerToken(), p.logger)
 	p.tasks = endpoint.NewClient(running, p.tls.transport(), p.tls.scheme(), p.loop, p.logger)
 	api := httpapi.New(httpapi.Config{
-		Name: p.settings.Name, Domain: p.settings.Domain, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
+		Name: p.settings.Name, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
 		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
 	})
 	public := p.newServer(api)
--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -28,7 +28,6 @@
 // Config is the input of New.
 type Config struct {
 	Name        string   // of this process
-	Domain      string   // its failure domain
 	PeerAddress string   // its own, to recognise redirects to itself
 	Domains     []string // all failure domains
 	Loop        Loop
@@ -147,10 +146,17 @@
 	_, _ = w.Write(r.Body) // a caller that has gone comes back with the same ID
 }
 
-// issueID returns a new request ID of this process's domain.
-func (s *Server) issueID(w http.ResponseWriter, _ *http.Request, _ protocol.Identity) {
+// issueID returns a new request ID. Nothing is written.
+func (s *Server) issueID(w http.ResponseWriter, r *http.Request, _ protocol.Identity) {
+	a, ok := s.loop.Call(r.Context(), func(t coordination.Token) coordination.Event {
+		return coordination.ChooseDomain{Token: t}
+	})
+	if !ok {
+		write(w, s.fail(protocol.Operation{Name: "issue request ID"}, &protocol.Error{Code: protocol.CodeUnavailable, Message: "the control goroutine does not answer"}))
+		return
+	}
 	var b [12]byte
 	_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-	id := state.NewRequestID(s.Domain, time.Now().Unix(), hex.EncodeToString(b[:]))
+	id := state.NewRequestID(a.Domain, time.Now().Unix(), hex.EncodeToString(b[:]))
 	write(w, protocol.OKResult(protocol.RequestIDResponse{ID: id}))
 }
