--- a/state/apply.go
+++ b/state/apply.go
@@ -100,10 +100,11 @@
 func (d *Domain) assign(c *Assign) Applied {
 	planned := map[string]Resources{}
 	own := map[string]Resources{}
+	var borrowed Resources
 	seen := map[TaskRef]bool{}
 	for i := range c.Items {
 		it := &c.Items[i]
-		if err := d.verify(it, planned, own, seen); err != nil {
+		if err := d.verify(it, planned, own, &borrowed, seen); err != nil {
 			return Applied{Rejected: fmt.Errorf("assign %s/%s#%d to %s: %w", it.Team, it.ID, it.Task, it.Endpoint, err)}
 		}
 	}
@@ -123,7 +124,7 @@
 	return a
 }
 
-func (d *Domain) verify(it *Assignment, planned, own map[string]Resources, seen map[TaskRef]bool) error {
+func (d *Domain) verify(it *Assignment, planned, own map[string]Resources, borrowed *Resources, seen map[TaskRef]bool) error {
 	r := d.records[it.Key]
 	if r == nil {
 		return ErrNoRequest
@@ -147,11 +148,16 @@
 	if !planned[e.Name].FitsIn(e.Free()) {
 		return ErrNoCapacity
 	}
-	if !it.Borrowed {
-		own[r.Team] = own[r.Team].Add(r.PerTask)
-		if !own[r.Team].Add(d.usage[r.Team].Own).FitsIn(d.shares[r.Team]) {
+	if it.Borrowed {
+		*borrowed = borrowed.Add(r.PerTask)
+		if !r.Repeatable || !d.borrowed.Add(*borrowed).FitsIn(d.idle.Sub(d.idleOf(r.Team))) {
 			return ErrOverQuota
 		}
+		return nil
+	}
+	own[r.Team] = own[r.Team].Add(r.PerTask)
+	if !own[r.Team].Add(d.usage[r.Team].Own).FitsIn(d.shares[r.Team]) {
+		return ErrOverQuota
 	}
 	return nil
 }
@@ -312,6 +318,7 @@
 	}
 	if c.Change == nil {
 		d.adopted, d.shares = c.Config, c.Shares
+		d.countIdle()
 		return Applied{}
 	}
 	if c.From != d.adopted.Version {
@@ -326,6 +333,7 @@
 	}
 	d.adopted = VersionedConfiguration{Version: c.Config.Version, Configuration: d.adopted.Configuration.With(c.Change)}
 	d.shares = shares
+	d.countIdle()
 	return Applied{}
 }
 
--- a/state/domain.go
+++ b/state/domain.go
@@ -40,6 +40,8 @@
 	endpoints map[string]*Endpoint
 	assigned  map[string]map[uint64]TaskRef // endpoint name and sequence number
 	usage     map[string]Usage              // by team
+	idle      Resources                     // sum of the unused parts of all shares
+	borrowed  Resources                     // sum of what all teams have borrowed
 	refused   map[Key]Refuse
 	refusals  []Refuse // oldest first, the values of refused
 	adopted   VersionedConfiguration
@@ -196,6 +198,7 @@
 	for _, e := range s.Endpoints {
 		d.endpoints[e.Name] = e
 	}
+	d.countIdle()
 	for _, r := range s.Records {
 		d.records[r.Key] = r
 		for i := range r.State {
@@ -218,18 +221,35 @@
 	m[t.Seq] = TaskRef{Key: r.Key, Task: task, Attempt: t.Attempt}
 }
 
+// idleOf returns the unused part of a team's share.
+func (d *Domain) idleOf(team string) Resources {
+	return d.shares[team].Sub(d.usage[team].Own).positive()
+}
+
+// countIdle sums up the unused parts of all shares after these have changed.
+func (d *Domain) countIdle() {
+	d.idle = Resources{}
+	for team := range d.shares {
+		d.idle = d.idle.Add(d.idleOf(team))
+	}
+}
+
 func (d *Domain) addUsage(r *Record, borrowed bool, n int) {
 	u := d.usage[r.Team]
+	amount := r.PerTask.Scale(n)
 	if borrowed {
-		u.Borrowed = u.Borrowed.Add(r.PerTask.Scale(n))
+		u.Borrowed = u.Borrowed.Add(amount)
+		d.borrowed = d.borrowed.Add(amount)
 	} else {
-		u.Own = u.Own.Add(r.PerTask.Scale(n))
+		share := d.shares[r.Team]
+		d.idle = d.idle.Sub(share.Sub(u.Own).positive())
+		u.Own = u.Own.Add(amount)
+		d.idle = d.idle.Add(share.Sub(u.Own).positive())
 	}
+	d.usage[r.Team] = u
 	if u == (Usage{}) {
 		delete(d.usage, r.Team)
-		return
 	}
-	d.usage[r.Team] = u
 }
 
 // Check verifies the invariants that every command must keep and returns the
@@ -269,6 +289,16 @@
 			return fmt.Errorf("endpoint %s is assigned more than it has: free %+v", name, e.Free())
 		}
 	}
+	var borrowed, idle Resources
+	for team := range d.shares {
+		idle = idle.Add(d.shares[team].Sub(usage[team].Own).positive())
+	}
+	for _, u := range usage {
+		borrowed = borrowed.Add(u.Borrowed)
+	}
+	if d.idle != idle || d.borrowed != borrowed {
+		return fmt.Errorf("quota: counted idle %+v and borrowed %+v, the tasks give %+v and %+v", d.idle, d.borrowed, idle, borrowed)
+	}
 	for team, u := range usage {
 		if d.usage[team] != u {
 			return fmt.Errorf("team %s: usage %+v, its tasks use %+v", team, d.usage[team], u)
--- a/state/records.go
+++ b/state/records.go
@@ -97,6 +97,11 @@
 	return r.Slots <= free.Slots && r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
 }
 
+// positive returns r with 0 in place of negative fields.
+func (r Resources) positive() Resources {
+	return Resources{max(0, r.Slots), max(0, r.MilliCores), max(0, r.MemoryMB), max(0, r.Accelerators)}
+}
+
 // IsNegative reports whether any field is below zero.
 func (r Resources) IsNegative() bool {
 	return r.Slots < 0 || r.MilliCores < 0 || r.MemoryMB < 0 || r.Accelerators < 0
