scheduling: promoted checks use the slots of a swing only near their bound

Cause: checks promoted after half of their bound took all slots but the interactive ones, and lookups at a crest waited 619 ms at the 99th percentile. Change: promoted work uses the slots kept for a swing only in the last sixth of its bound; admission accepts deferrable work for three quarters of the bound; the default estimator returns the mean instead of the median run time.

--- a/coordination/scheduling/defaults.go
+++ b/coordination/scheduling/defaults.go
@@ -19,17 +19,21 @@
 
 type kindAverage struct {
 	n      int
-	run    float64 // milliseconds at speed 1
+	run    float64 // median, milliseconds at speed 1
 	spread float64 // mean absolute deviation of the logarithm from the prediction
 }
 
 const (
-	averageWeight   = 0.1  // of a new observation, about the last 20 count
-	defaultRunMS    = 1000 // for a kind that declares nothing
-	declaredMargin  = 10   // declared run times are wrong by up to ten times
-	learnedAfter    = 5    // observations before the average replaces the declaration
-	minSpeed        = 0.01 // keeps divisions by the speed bounded
-	spreadAllowance = 3    // deviations between the expected and the upper run time
+	averageWeight  = 0.1  // of a new observation, about the last 20 count
+	defaultRunMS   = 1000 // for a kind that declares nothing
+	declaredMargin = 10   // declared run times are wrong by up to ten times
+	learnedAfter   = 5    // observations before the average replaces the declaration
+	minSpeed       = 0.01 // keeps divisions by the speed bounded
+	// deviationOfSpread is the standard deviation of a normal distribution relative to
+	// its mean absolute deviation. The mean of a log-normal run time exceeds its median
+	// accordingly.
+	deviationOfSpread = 1.25
+	spreadAllowance   = 3 // deviations between the expected and the upper run time
 )
 
 func newAverages() *averages {
@@ -45,8 +49,9 @@
 		}
 		return Estimate{RunMS: declared, UpperMS: declared * declaredMargin}
 	}
+	deviation := k.spread * deviationOfSpread
 	return Estimate{
-		RunMS:       int64(k.run),
+		RunMS:       int64(k.run * math.Exp(deviation*deviation/2)),
 		UpperMS:     int64(k.run * math.Exp(spreadAllowance*k.spread)),
 		Reliability: math.Exp(-k.spread),
 	}
--- a/coordination/scheduling/limits.go
+++ b/coordination/scheduling/limits.go
@@ -9,6 +9,11 @@
 // expiryRepeatMS is when an expiry is proposed again if it was not committed.
 const expiryRepeatMS = 5000
 
+// admittedPart is the part of the bound, in quarters, up to which the expected wait of
+// deferrable work is accepted. The rest covers a rise of the demand for slots after
+// the work was accepted.
+const admittedPart = 3
+
 // joiningRetryMS is the advice to callers while no endpoint is known.
 const joiningRetryMS = 10_000
 
@@ -77,7 +82,7 @@
 		l.Waiting += urgent.Len()
 		l.WaitingMS += urgent.Cost()
 	case state.ClassDeferrable:
-		l.BoundMS = s.bound(r)
+		l.BoundMS = s.bound(r) * admittedPart / 4
 		l.Capacity = s.deferrableSlots(true)
 		promoted := s.queues[bandPromoted]
 		l.Waiting += promoted.Len()
--- a/coordination/scheduling/options.go
+++ b/coordination/scheduling/options.go
@@ -8,7 +8,7 @@
 
 // Estimate is what is expected of the run time of a task on an endpoint of speed 1.
 type Estimate struct {
-	RunMS       int64   // expected
+	RunMS       int64   // mean, since queues are judged by the sum of what waits
 	UpperMS     int64   // exceeded rarely
 	Reliability float64 // 0 for a declared value only, towards 1 as predictions hold
 }
--- a/coordination/scheduling/slots.go
+++ b/coordination/scheduling/slots.go
@@ -14,6 +14,10 @@
 	promotedEighths    = 1 // left to deferrable work that has waited long, at least
 )
 
+// lastPartOfBound is the divisor of a bound on waiting that gives its last part, in
+// which promoted work may use all slots but the interactive ones.
+const lastPartOfBound = 6
+
 // headroomHalfLifeMS is how fast the memory of a demand peak fades. Swings of the
 // workloads recur within minutes.
 const headroomHalfLifeMS = 300_000
@@ -99,8 +103,12 @@
 	return !j.long || s.longAllowed(), s.slots.deferrable >= s.promotedSlots()
 }
 
-func (s *planner) promotedAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
-	return !j.long || s.longAllowed(), s.slots.deferrable >= s.deferrableSlots(false)
+// promotedAllowed lets promoted work use the slots kept for a swing only when its
+// bound is near. The queue is ordered by due time, so the first task decides.
+func (s *planner) promotedAllowed(l *queue.Lane, j *job) (ok, stop bool) {
+	near := l.Head().Due-s.clock.WallMS <= s.bound(&j.rec.Request)/lastPartOfBound
+	stop = s.slots.deferrable >= s.deferrableSlots(j.long && !near)
+	return !j.long || s.longAllowed(), stop
 }
 
 func (s *planner) leftoverAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
