--- a/coordination/scheduling/schedulingbench/driver.go
+++ b/coordination/scheduling/schedulingbench/driver.go
@@ -78,7 +78,7 @@
 func Run(sc Scenario, name string, s scheduling.Scheduler) (*Result, error) {
 	d := &driver{
 		sc:       sc,
-		sched:    &meter{Scheduler: s},
+		sched:    &meter{Scheduler: s, allocate: sc.Allocations},
 		domain:   state.NewDomain("cell"),
 		rng:      rand.New(rand.NewPCG(sc.Seed, 1)),
 		machines: map[string]*machine{},
