scheduling: a task that avoids an endpoint does not block its size

Cause: new tests showed two faults. A task that must not return to the only free endpoint blocked all tasks of its size, and a quarantined endpoint got no trial when the lanes were blocked because no other endpoint was free. Change: such a task is passed over for 100 ms, and may use any endpoint once it has failed on as many as there are; trials also take from blocked lanes.

--- a/coordination/scheduling/gang.go
+++ b/coordination/scheduling/gang.go
@@ -291,18 +291,18 @@
 		return
 	}
 	var first *queue.Item
-	earlier := func(l *queue.Lane) {
+	consider := func(l *queue.Lane) {
 		it := l.Head()
 		if j, _ := s.taskOf(it); it.Task >= 0 && c.WallMS-j.rec.AcceptedMS < blockedBatchMS {
 			return
 		}
-		if first == nil || it.Due < first.Due || it.Due == first.Due && before(it.Key, first.Key) {
+		if first == nil || earlier(it, first) {
 			first = it
 		}
 	}
-	s.queues[bandGang].ScanBlocked(earlier)
+	s.queues[bandGang].ScanBlocked(consider)
 	if first == nil {
-		s.queues[bandBatch].ScanBlocked(earlier)
+		s.queues[bandBatch].ScanBlocked(consider)
 	}
 	if first == nil {
 		return
@@ -311,9 +311,13 @@
 	s.tryReserve(c, j, tasksOf(j))
 }
 
-func before(a, b state.Key) bool {
-	if a.Team != b.Team {
-		return a.Team < b.Team
+// earlier orders items of different groups.
+func earlier(a, b *queue.Item) bool {
+	if a.Due != b.Due {
+		return a.Due < b.Due
 	}
-	return a.ID < b.ID
+	if a.Key.Team != b.Key.Team {
+		return a.Key.Team < b.Key.Team
+	}
+	return a.Key.ID < b.Key.ID
 }
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -131,14 +131,41 @@
 		}
 		n := p.find(b.clock, j, it)
 		if n == nil {
-			q.Block(l.Group(), p.reason)
 			s.tries--
+			if len(s.avoided(j, it.Task)) > 0 {
+				s.postpone(b.clock, t)
+			} else {
+				q.Block(l.Group(), p.reason)
+			}
 			continue
 		}
 		s.startTask(b, q, j, t, n, borrowed)
 	}
 }
 
+// postponeMS is how long a task that must not return to the free endpoints is passed
+// over. It must not block the tasks of its size, which may use them.
+const postponeMS = 100
+
+func (s *planner) postpone(c Clock, t *task) {
+	s.dequeue(t)
+	t.wait = delayed
+	s.delayed.Set(t, c.WallMS+postponeMS)
+}
+
+// avoided returns the endpoints to which a task must not return because it failed
+// there. If it has failed on as many as there are, it may use any.
+func (s *planner) avoided(j *job, i int) avoids {
+	if i < 0 {
+		return nil
+	}
+	failed := j.rec.State[i].FailedOn
+	if len(failed) >= s.poolOf(j.rec.Class).Len() {
+		return nil
+	}
+	return failed
+}
+
 // skip sets a lane aside for the rest of the plan.
 func (s *planner) skip(q *queue.Queue, l *queue.Lane, reason string) {
 	q.Park(l, reason)
--- a/coordination/scheduling/policy_test.go
+++ b/coordination/scheduling/policy_test.go
@@ -106,7 +106,7 @@
 	c.runner("r", 1)
 	k := c.accept(slotRequest("x", state.ClassUrgent))
 	p := c.s.Plan(c.clock())
-	c.apply(state.Command{Cancel: &state.Cancel{Key: k, Actor: "test"}})
+	c.apply(state.Command{Cancel: &state.Cancel{Key: k, AtMS: c.clock().WallMS, Actor: "test"}})
 	if a := c.apply(state.Command{Assign: p[0]}); a.Rejected == nil {
 		t.Fatal("a cancelled request was assigned")
 	}
@@ -228,3 +228,25 @@
 		t.Errorf("the gang has not started: %+v", s)
 	}
 }
+
+// Guards against a task that must not return to the only free endpoint and blocks the
+// others of its size.
+func TestAvoidedEndpointBlocksNoOther(t *testing.T) {
+	c := newCell(t, ample())
+	c.runner("a", 1)
+	c.runner("b", 1)
+	c.accept(slotRequest("y", state.ClassUrgent))
+	failing := slotRequest("x", state.ClassInteractive)
+	failing.Retries = 3
+	k := c.accept(failing)
+	for _, ref := range c.plan() {
+		if ref.Key == k {
+			c.finish(ref, state.TaskFailed)
+		}
+	}
+	c.pass(retryDelayMS * time.Millisecond)
+	other := c.accept(slotRequest("x", state.ClassInteractive))
+	if got := c.plan(); len(got) != 1 || got[0].Key != other {
+		t.Errorf("planned %v, want %v", got, other)
+	}
+}
--- a/coordination/scheduling/slots.go
+++ b/coordination/scheduling/slots.go
@@ -128,10 +128,7 @@
 // timely returns the filter for an item. It is valid until the next call.
 func (s *planner) timely(c Clock, j *job, it *queue.Item) placement.Filter {
 	f := &s.filter
-	*f = timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS}
-	if it.Task >= 0 {
-		f.avoids = j.rec.State[it.Task].FailedOn
-	}
+	*f = timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS, avoids: s.avoided(j, it.Task)}
 	if j.rec.DeadlineMS > 0 {
 		f.dueMS = j.rec.DeadlineMS
 	}
--- a/coordination/scheduling/trials.go
+++ b/coordination/scheduling/trials.go
@@ -54,20 +54,15 @@
 
 func (s *planner) tryTrial(b *batch, p *placement.Pool, n *placement.Node, bands []band) bool {
 	for _, bd := range bands {
-		var lane *queue.Lane
-		scanned := 0
-		s.queues[bd].Scan(func(l *queue.Lane) bool {
-			scanned++
-			if l.Repeatable && l.PerTask.FitsIn(n.Free()) && s.ledger.owns(l.Team, l.PerTask, false) {
-				lane = l
-			}
-			return lane == nil && scanned < trialScan
-		})
+		lane := s.trialLane(s.queues[bd], n)
 		if lane == nil {
 			continue
 		}
 		j, t := s.taskOf(lane.Head())
-		if !avoids(j.rec.State[t.item.Task].FailedOn).Allows(n) {
+		if !s.avoided(j, t.item.Task).Allows(n) {
+			j, t = s.taskOf(lane.Last())
+		}
+		if !s.avoided(j, t.item.Task).Allows(n) {
 			continue
 		}
 		s.startTask(b, s.queues[bd], j, t, n, false)
@@ -75,3 +70,30 @@
 	}
 	return false
 }
+
+// trialLane returns a lane whose tasks may run on the node for a trial, or nil. A
+// group that is blocked because no other endpoint is free counts as well.
+func (s *planner) trialLane(q *queue.Queue, n *placement.Node) *queue.Lane {
+	var lane *queue.Lane
+	suits := func(l *queue.Lane) bool {
+		return l.Repeatable && l.PerTask.FitsIn(n.Free()) && s.ledger.owns(l.Team, l.PerTask, false)
+	}
+	scanned := 0
+	q.Scan(func(l *queue.Lane) bool {
+		scanned++
+		if suits(l) {
+			lane = l
+		}
+		return lane == nil && scanned < trialScan
+	})
+	if lane != nil {
+		return lane
+	}
+	// The order of the blocked groups is random, so the earliest is chosen.
+	q.ScanBlocked(func(l *queue.Lane) {
+		if suits(l) && (lane == nil || earlier(l.Head(), lane.Head())) {
+			lane = l
+		}
+	})
+	return lane
+}
--- a/coordination/scheduling/workers.go
+++ b/coordination/scheduling/workers.go
@@ -23,7 +23,7 @@
 // be, and otherwise the rack with the fewest tasks of the service.
 func (s *planner) findForService(_ Clock, j *job, it *queue.Item) *placement.Node {
 	t := &j.rec.State[it.Task]
-	avoid := avoids(t.FailedOn)
+	avoid := s.avoided(j, it.Task)
 	if n := s.workers.Node(t.Endpoint); n != nil && n.Ready() && j.rec.PerTask.FitsIn(n.Available()) && avoid.Allows(n) {
 		return n
 	}
