processtest: real processes, first test with a killed leader

Cause: nothing ran the built program, its settings file, its data directory and its signals together, other than demo/run.

Change: package processtest builds cmd/primrosereach once (with the race detector if the test has it), starts entry processes on loopback ports and signals them by process id.

--- a/demo/cmd/load/deployments.go
+++ b/demo/load/deployments.go
@@ -1,17 +1,23 @@
-package main
+package load
 
 import "github.com/primrosereach/primrosereach/state"
 
-// kind is one sort of request that the demonstration submits.
-type kind struct {
-	team, name string
-	tasks      int
-	runMS      int64
+// Kind is one sort of request that callers submit.
+type Kind struct {
+	Team, Name string
+	Tasks      int   // 0 means 1
+	RunMS      int64 // run time of a task at an endpoint of speed 1, in milliseconds
 }
 
-type deployment struct {
-	configuration state.Configuration
-	kinds         []kind
+// Deployment is a configuration and the kinds of requests submitted under it.
+type Deployment struct {
+	Configuration state.Configuration
+	Kinds         []Kind
+}
+
+// repeatable reports whether the configuration lets a kind run again.
+func (d *Deployment) repeatable(k Kind) bool {
+	return d.Configuration.Teams[k.Team].Kinds[k.Name].Repeatable
 }
 
 var (
@@ -20,9 +26,10 @@
 	all  = state.Resources{Slots: 1000, MilliCores: 10_000_000, MemoryMB: 40 << 20, Accelerators: 100}
 )
 
-var deployments = map[string]deployment{
+// Deployments holds the two deployments of docs/design.md 1.2 with short run times.
+var Deployments = map[string]Deployment{
 	"claims": {
-		configuration: state.Configuration{Teams: map[string]state.TeamConfig{
+		Configuration: state.Configuration{Teams: map[string]state.TeamConfig{
 			"clerks": {Quota: all, Kinds: map[string]state.KindConfig{
 				"eligibility-review": {Class: state.ClassUrgent, PerTask: slot, EstimateMS: 300, DeadlineMS: 600_000},
 				"document-check":     {Class: state.ClassDeferrable, Repeatable: true, PerTask: slot, EstimateMS: 400, MaxWaitMS: 600_000, Retries: 3},
@@ -30,15 +37,15 @@
 				"archive":            {Class: state.ClassService, Repeatable: true, PerTask: core},
 			}},
 		}},
-		kinds: []kind{
-			{team: "clerks", name: "eligibility-review", runMS: 300},
-			{team: "clerks", name: "document-check", runMS: 400},
-			{team: "clerks", name: "status-lookup", runMS: 20},
-			{team: "clerks", name: "archive", runMS: 2000},
+		Kinds: []Kind{
+			{Team: "clerks", Name: "eligibility-review", RunMS: 300},
+			{Team: "clerks", Name: "document-check", RunMS: 400},
+			{Team: "clerks", Name: "status-lookup", RunMS: 20},
+			{Team: "clerks", Name: "archive", RunMS: 2000},
 		},
 	},
 	"mail": {
-		configuration: state.Configuration{Teams: map[string]state.TeamConfig{
+		Configuration: state.Configuration{Teams: map[string]state.TeamConfig{
 			"member-a": {Quota: all, Kinds: map[string]state.KindConfig{
 				"statement-run": {Class: state.ClassBatch, PerTask: core, EstimateMS: 800, DeadlineMS: 600_000},
 				"proof-preview": {Class: state.ClassInteractive, Repeatable: true, PerTask: slot, EstimateMS: 50, DeadlineMS: 60_000, Retries: 3},
@@ -48,11 +55,11 @@
 				"merge":        {Class: state.ClassGang, Repeatable: true, PerTask: core, EstimateMS: 500, MaxTasks: 8, Retries: 3},
 			}},
 		}},
-		kinds: []kind{
-			{team: "member-a", name: "statement-run", runMS: 800},
-			{team: "member-a", name: "proof-preview", runMS: 50},
-			{team: "member-b", name: "notice-batch", runMS: 600},
-			{team: "member-b", name: "merge", tasks: 4, runMS: 500},
+		Kinds: []Kind{
+			{Team: "member-a", Name: "statement-run", RunMS: 800},
+			{Team: "member-a", Name: "proof-preview", RunMS: 50},
+			{Team: "member-b", Name: "notice-batch", RunMS: 600},
+			{Team: "member-b", Name: "merge", Tasks: 4, RunMS: 500},
 		},
 	},
 }
--- /dev/null
+++ b/processtest/cluster.go
@@ -0,0 +1,219 @@
+package processtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/demo/load"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+)
+
+// Config describes the processes of a cell.
+type Config struct {
+	Domains   []string // failure domains
+	PerDomain int      // processes in each
+	// Change may alter the settings of every process before they are written.
+	Change func(*settings.Settings)
+}
+
+// Cluster is the entry processes of one cell.
+type Cluster struct {
+	Config
+	Processes []*Process
+	Journal   *load.Journal // of all endpoints
+
+	next atomic.Uint64
+}
+
+// Start starts the processes of a cell and waits until all are ready. They end with
+// the test.
+func Start(t testing.TB, cfg Config) *Cluster {
+	t.Helper()
+	c := &Cluster{Config: cfg, Journal: load.NewJournal()}
+	dir := t.TempDir()
+	var peers []settings.Peer
+	for _, d := range cfg.Domains {
+		for i := range cfg.PerDomain {
+			peers = append(peers, settings.Peer{
+				Name: fmt.Sprintf("%s-%d", d, i+1), Domain: d, Address: freeAddress(t), PublicAddress: freeAddress(t), Disk: true,
+			})
+		}
+	}
+	for _, p := range peers {
+		c.Processes = append(c.Processes, c.prepare(t, dir, p, peers))
+	}
+	t.Cleanup(func() {
+		for _, p := range c.Processes {
+			p.finish(t)
+		}
+	})
+	for _, p := range c.Processes {
+		p.Start(t)
+	}
+	c.AwaitReady(t)
+	return c
+}
+
+// prepare writes the settings of a process.
+func (c *Cluster) prepare(t testing.TB, dir string, p settings.Peer, peers []settings.Peer) *Process {
+	t.Helper()
+	s := settings.Settings{
+		Name: p.Name, Domain: p.Domain, Listen: p.PublicAddress, PeerListen: p.Address, DataDir: filepath.Join(dir, p.Name),
+		Peers: peers, Insecure: true, LogLevel: "debug",
+	}
+	if c.Change != nil {
+		c.Change(&s)
+	}
+	file := filepath.Join(dir, p.Name+".json")
+	WriteSettings(t, file, &s)
+	if err := os.MkdirAll(s.DataDir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	return &Process{Peer: p, SettingsFile: file, DataDir: s.DataDir, logFile: filepath.Join(dir, p.Name+".log")}
+}
+
+// WriteSettings writes a settings file. Fields that are not set are left out, since
+// settings treat a zero limit as a fault.
+func WriteSettings(t testing.TB, file string, s *settings.Settings) {
+	t.Helper()
+	fields := map[string]any{}
+	b, err := json.Marshal(s)
+	if err == nil {
+		err = json.Unmarshal(b, &fields)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	dropUnset(fields)
+	if b, err = json.Marshal(fields); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(file, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func dropUnset(fields map[string]any) {
+	for k, v := range fields {
+		switch v := v.(type) {
+		case nil:
+			delete(fields, k)
+		case string:
+			if v == "" {
+				delete(fields, k)
+			}
+		case float64:
+			if v == 0 {
+				delete(fields, k)
+			}
+		case map[string]any:
+			if dropUnset(v); len(v) == 0 {
+				delete(fields, k)
+			}
+		}
+	}
+}
+
+// AwaitReady waits until every process that runs is ready.
+func (c *Cluster) AwaitReady(t testing.TB) {
+	t.Helper()
+	for _, p := range c.Processes {
+		if p.Running() {
+			Await(t, p.Name+" is ready", p.Ready)
+		}
+	}
+}
+
+// Servers returns the public addresses of all processes.
+func (c *Cluster) Servers() []string {
+	out := make([]string, len(c.Processes))
+	for i, p := range c.Processes {
+		out[i] = p.PublicAddress
+	}
+	return out
+}
+
+// Process returns the process of a name.
+func (c *Cluster) Process(t testing.TB, name string) *Process {
+	t.Helper()
+	for _, p := range c.Processes {
+		if p.Name == name {
+			return p
+		}
+	}
+	t.Fatalf("no process %q", name)
+	return nil
+}
+
+// Leader waits for a leader of a group, other than the given processes.
+func (c *Cluster) Leader(t testing.TB, group string, except ...*Process) *Process {
+	t.Helper()
+	var leader *Process
+	Await(t, "a leader of "+group, func() bool {
+		leader = c.leaderNow(group, except)
+		return leader != nil
+	})
+	return leader
+}
+
+func (c *Cluster) leaderNow(group string, except []*Process) *Process {
+next:
+	for _, p := range c.Processes {
+		for _, x := range except {
+			if p == x {
+				continue next
+			}
+		}
+		if g := p.Group(group); g != nil && g.Leads {
+			return p
+		}
+	}
+	return nil
+}
+
+// Watch checks the readiness of all processes until the test ends, as a balancer
+// does. pick returns the public address of one that was ready at the last check.
+func (c *Cluster) Watch(t testing.TB) (pick func() string) {
+	t.Helper()
+	ready := make([]atomic.Bool, len(c.Processes))
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	check := func() {
+		for i, p := range c.Processes {
+			ready[i].Store(p.Ready())
+		}
+	}
+	check()
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(pollPeriod):
+				check()
+			}
+		}
+	}()
+	t.Cleanup(func() { close(stop); <-done })
+	return func() string {
+		for {
+			for range c.Processes {
+				i := int(c.next.Add(1) % uint64(len(c.Processes)))
+				if ready[i].Load() {
+					return c.Processes[i].PublicAddress
+				}
+			}
+			time.Sleep(pollPeriod) // none is ready: callers wait, as at a balancer
+		}
+	}
+}
+
+// DomainGroup returns the name of the group of a failure domain.
+func DomainGroup(domain string) string { return coordination.DomainGroup(domain) }
--- /dev/null
+++ b/processtest/failures_test.go
@@ -0,0 +1,68 @@
+package processtest
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/primrosereach/primrosereach/demo/load"
+)
+
+const north = "north"
+
+var claims = load.Deployments["claims"]
+
+// startLoaded starts a cell of one failure domain with endpoints and callers. The
+// returned function ends the load and checks that nothing was lost or run twice.
+func startLoaded(t *testing.T) (c *Cluster, finish func()) {
+	c = Start(t, Config{Domains: []string{north}, PerDomain: 3})
+	c.StartEndpoints(t, 2, 2)
+	c.Apply(t, claims)
+	stop := make(chan struct{})
+	outcomes := load.Background(load.NewClient(c.Servers()), claims.Kinds, 16, stop)
+	return c, func() {
+		t.Helper()
+		close(stop)
+		checkOutcomes(t, claims, outcomes(), c.Journal)
+	}
+}
+
+func checkOutcomes(t *testing.T, d load.Deployment, outcomes []load.Outcome, j *load.Journal) {
+	t.Helper()
+	totals := load.Compare(d, outcomes, j)
+	t.Log(totals)
+	if totals.Lost > 0 || totals.Doubled > 0 || totals.Completed == 0 {
+		t.Errorf("lost, run twice, or nothing completed: %s", totals)
+		for i := range outcomes {
+			if o := &outcomes[i]; !o.Accepted || o.Status.Outcome != "done" {
+				t.Log(o)
+			}
+		}
+	}
+}
+
+// awaitExecutions waits until the endpoints have ended n more executions.
+func awaitExecutions(t *testing.T, c *Cluster, n int) {
+	t.Helper()
+	goal := len(c.Journal.Events()) + 2*n
+	Await(t, "work goes on", func() bool { return len(c.Journal.Events()) >= goal })
+}
+
+// A leader that crashes must lose no accepted request, and its successor must not
+// start again what already ran.
+func TestKilledLeader(t *testing.T) {
+	t.Parallel()
+	c, finish := startLoaded(t)
+	for range 2 {
+		awaitExecutions(t, c, 20)
+		leader := c.Leader(t, DomainGroup(north))
+		leader.Kill(t)
+		c.Leader(t, DomainGroup(north), leader)
+		awaitExecutions(t, c, 20)
+		leader.Start(t)
+		c.AwaitReady(t)
+	}
+	finish()
+	if status, _ := c.Processes[0].Get("/healthz"); status != http.StatusOK {
+		t.Errorf("/healthz: status %d", status)
+	}
+}
--- /dev/null
+++ b/processtest/main_test.go
@@ -0,0 +1,5 @@
+package processtest
+
+import "testing"
+
+func TestMain(m *testing.M) { Main(m) }
--- /dev/null
+++ b/processtest/race_off.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package processtest
+
+var raceFlags []string
