--- a/demo/load/client.go
+++ b/demo/load/client.go
@@ -27,9 +27,13 @@
 	// status is 0 if there was no answer at all.
 	Unanswered func(server, call string, status int, text string)
 
-	http *http.Client
+	http  *http.Client
+	calls atomic.Int64
 }
 
+// Calls returns the number of attempts so far.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
 // NewClient returns a client that takes the servers in turn.
 func NewClient(servers []string) *Client {
 	var next atomic.Uint64
@@ -44,6 +48,7 @@
 // Call makes one attempt at the next server. The status is 0 if it did not answer.
 func (c *Client) Call(method, path, team string, body, into any) (status int, text string) {
 	server := c.Pick()
+	c.calls.Add(1)
 	status, text = c.CallAt(server, method, path, team, body, into)
 	if c.Unanswered != nil && !definite(status) {
 		c.Unanswered(server, method+" "+path, status, text)
--- a/processtest/cluster.go
+++ b/processtest/cluster.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -183,25 +184,21 @@
 	t.Helper()
 	ready := make([]atomic.Bool, len(c.Processes))
 	stop := make(chan struct{})
-	done := make(chan struct{})
-	check := func() {
-		for i, p := range c.Processes {
-			ready[i].Store(p.Ready())
-		}
-	}
-	check()
-	go func() {
-		defer close(done)
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(pollPeriod):
-				check()
+	var wg sync.WaitGroup
+	t.Cleanup(func() { close(stop); wg.Wait() })
+	for i, p := range c.Processes {
+		ready[i].Store(p.Ready())
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(pollPeriod):
+					ready[i].Store(p.Ready())
+				}
 			}
-		}
-	}()
-	t.Cleanup(func() { close(stop); <-done })
+		})
+	}
 	return func() string {
 		for {
 			for range c.Processes {
--- a/processtest/failures_test.go
+++ b/processtest/failures_test.go
@@ -18,7 +18,7 @@
 	c.StartEndpoints(t, 2, 2)
 	c.Apply(t, claims)
 	stop := make(chan struct{})
-	outcomes := load.Background(load.NewClient(c.Servers()), claims.Kinds, 16, stop)
+	outcomes := load.Background(load.NewPickingClient(c.Watch(t)), claims.Kinds, 16, stop)
 	return c, func() {
 		t.Helper()
 		close(stop)
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"strconv"
+
 	"github.com/primrosereach/primrosereach/coordination"
 	"github.com/primrosereach/primrosereach/state"
 )
@@ -10,6 +12,7 @@
 type ProcessStatus struct {
 	Name          string        `json:"name"`
 	Domain        string        `json:"domain"`
+	Incarnation   string        `json:"incarnation"` // hexadecimal
 	Ready         bool          `json:"ready"`
 	Stopping      bool          `json:"stopping,omitempty"`
 	StorageError  string        `json:"storage_error,omitempty"`
@@ -37,11 +40,12 @@
 
 // MemberStatus is one replica of a group as its leader sees it.
 type MemberStatus struct {
-	Name   string `json:"name"`
-	Domain string `json:"domain"`
-	Disk   bool   `json:"disk"`
-	Voter  bool   `json:"voter"`
-	Match  uint64 `json:"match"` // synced log index, known to the leader only
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"` // hexadecimal
+	Domain      string `json:"domain"`
+	Disk        bool   `json:"disk"`
+	Voter       bool   `json:"voter"`
+	Match       uint64 `json:"match"` // synced log index, known to the leader only
 }
 
 // OpenTasks counts the open tasks of a class.
@@ -63,7 +67,7 @@
 // NewProcessStatus describes a node's status.
 func NewProcessStatus(s *coordination.Status) ProcessStatus {
 	out := ProcessStatus{
-		Name: s.Name, Domain: s.Domain, Ready: s.Ready, Stopping: s.Stopping, StorageError: s.Failed,
+		Name: s.Name, Domain: s.Domain, Incarnation: strconv.FormatUint(s.Incarnation, 16), Ready: s.Ready, Stopping: s.Stopping, StorageError: s.Failed,
 		UptimeS: int64(s.Uptime.Seconds()), Configuration: s.Configuration, CellVersion: s.CellVersion,
 		CellContactMS: s.CellContactAge.Milliseconds(),
 	}
@@ -79,7 +83,9 @@
 		Durability: string(g.Replication.Durability), Records: g.Records,
 	}
 	for _, m := range g.Replication.Members {
-		out.Members = append(out.Members, MemberStatus{Name: m.Name, Domain: m.Domain, Disk: m.Disk, Voter: m.Voter, Match: m.Match})
+		out.Members = append(out.Members, MemberStatus{
+			Name: m.Name, Incarnation: strconv.FormatUint(m.Incarnation, 16), Domain: m.Domain, Disk: m.Disk, Voter: m.Voter, Match: m.Match,
+		})
 	}
 	if len(g.Endpoints) > 0 {
 		out.Endpoints = map[state.EndpointStatus]int{}
