httpapi, daemon: waiting calls outlive their leader and a planned stop

Cause: Route forwarded a caller's whole wait in one call. A leader that is paused or cut off keeps its connections, so the caller heard nothing until its wait plus 3 s had passed; a leader lost later than 10 s into a wait gave "unavailable", and a submission whose leader was lost during the wait gave "unknown outcome" although it had been accepted. A planned stop closed the connections of calls that still waited after shutdown_timeout_ms without an answer, did not wait for a successor, and let clients reuse connections that it was about to close. A client that read nothing held its connection without bound, and request_timeout_ms bounded only the reading of a call.

Ruled out: replication and the control loop. The successor had the outcome within 2 s, and the log of the paused leader shows that it resigned in its first step.

Change: waits are forwarded in parts of 3 s, each at the leader of that moment; an accepted submission goes on as a lookup and is never reported as in doubt.

Conclusion: a caller hears of a lost leader within one part of its wait.

--- a/processtest/failures_test.go
+++ b/processtest/failures_test.go
@@ -1,7 +1,10 @@
 package processtest
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"testing"
 
 	"github.com/primrosereach/primrosereach/demo/load"
@@ -12,17 +15,45 @@
 var claims = load.Deployments["claims"]
 
 // startLoaded starts a cell of one failure domain with endpoints and callers. The
-// returned function ends the load and checks that nothing was lost or run twice.
-func startLoaded(t *testing.T) (c *Cluster, finish func()) {
+// returned function ends the load and checks that nothing was lost or run twice, and
+// that every call was answered but for those at the processes that the test harmed.
+func startLoaded(t *testing.T) (c *Cluster, finish func(harmed ...*Process)) {
 	c = Start(t, Config{Domains: []string{north}, PerDomain: 3})
 	c.StartEndpoints(t, 2, 2)
 	c.Apply(t, claims)
+	client, unanswered := countingClient(c.Watch(t))
 	stop := make(chan struct{})
-	outcomes := load.Background(load.NewPickingClient(c.Watch(t)), claims.Kinds, 16, stop)
-	return c, func() {
+	outcomes := load.Background(client, claims.Kinds, 16, stop)
+	return c, func(harmed ...*Process) {
 		t.Helper()
 		close(stop)
 		checkOutcomes(t, claims, outcomes(), c.Journal)
+		t.Logf("%d calls", client.Calls())
+		for _, u := range unanswered() {
+			if !slices.ContainsFunc(harmed, func(p *Process) bool { return p.PublicAddress == u.server }) {
+				t.Errorf("no definite answer at %s: %s", u.server, u.text)
+			}
+		}
+	}
+}
+
+type unansweredCall struct{ server, text string }
+
+// countingClient returns a client and a function that lists its calls without a
+// definite answer.
+func countingClient(pick func() string) (*load.Client, func() []unansweredCall) {
+	var mu sync.Mutex
+	var calls []unansweredCall
+	c := load.NewPickingClient(pick)
+	c.Unanswered = func(server, call string, status int, text string) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, unansweredCall{server, fmt.Sprintf("%s: status %d: %.300s", call, status, text)})
+	}
+	return c, func() []unansweredCall {
+		mu.Lock()
+		defer mu.Unlock()
+		return calls
 	}
 }
 
@@ -52,16 +83,18 @@
 func TestKilledLeader(t *testing.T) {
 	t.Parallel()
 	c, finish := startLoaded(t)
+	var killed []*Process
 	for range 2 {
 		awaitExecutions(t, c, 20)
 		leader := c.Leader(t, DomainGroup(north))
 		leader.Kill(t)
+		killed = append(killed, leader)
 		c.Leader(t, DomainGroup(north), leader)
 		awaitExecutions(t, c, 20)
 		leader.Start(t)
 		c.AwaitReady(t)
 	}
-	finish()
+	finish(killed...)
 	if status, _ := c.Processes[0].Get("/healthz"); status != http.StatusOK {
 		t.Errorf("/healthz: status %d", status)
 	}
--- a/processtest/pause_test.go
+++ b/processtest/pause_test.go
@@ -56,7 +56,7 @@
 	}
 	awaitExecutions(t, c, 20)
 	c.AwaitReady(t)
-	finish()
+	finish(paused)
 }
 
 func staleRequest(at *load.Client, done *load.Outcome) string {
--- a/processtest/restart_test.go
+++ b/processtest/restart_test.go
@@ -1,10 +1,8 @@
 package processtest
 
 import (
-	"fmt"
 	"net/http"
 	"os"
-	"sync"
 	"testing"
 
 	"github.com/primrosereach/primrosereach/demo/load"
@@ -35,7 +33,7 @@
 	awaitExecutions(t, c, 20)
 	second.Start(t)
 	c.AwaitReady(t)
-	finish()
+	finish(repaired, second)
 }
 
 // isVoter reports whether the leader of a group counts the process as a voter with
@@ -103,14 +101,7 @@
 	c := Start(t, Config{Domains: []string{"centre", north}, PerDomain: 2})
 	c.StartEndpoints(t, 2, 1)
 	c.Apply(t, claims)
-	client := load.NewPickingClient(c.Watch(t))
-	var mu sync.Mutex
-	var interrupted []string
-	client.Unanswered = func(server, call string, status int, text string) {
-		mu.Lock()
-		defer mu.Unlock()
-		interrupted = append(interrupted, fmt.Sprintf("%s at %s: status %d: %.300s", call, server, status, text))
-	}
+	client, unanswered := countingClient(c.Watch(t))
 	stop := make(chan struct{})
 	outcomes := load.Background(client, claims.Kinds, 16, stop)
 	for _, p := range c.Processes {
@@ -125,8 +116,8 @@
 	awaitExecutions(t, c, 20)
 	close(stop)
 	checkOutcomes(t, claims, outcomes(), c.Journal)
-	t.Logf("%d calls, %d without a definite answer", client.Calls(), len(interrupted))
-	for _, i := range interrupted {
-		t.Error(i)
+	t.Logf("%d calls, %d without a definite answer", client.Calls(), len(unanswered()))
+	for _, u := range unanswered() {
+		t.Errorf("interrupted at %s: %s", u.server, u.text)
 	}
 }
--- a/transport/httpapi/perform.go
+++ b/transport/httpapi/perform.go
@@ -113,6 +113,7 @@
 func (s *Server) awaitFinal(ctx context.Context, op protocol.Operation) (protocol.Result, bool) {
 	ctx, cancel := context.WithTimeout(ctx, op.Wait)
 	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
 	a, ok := s.loop.Call(ctx, func(t coordination.Token) coordination.Event {
 		return coordination.Lookup{Token: t, Key: key(op), Wait: true}
 	})
--- a/transport/httpapi/route.go
+++ b/transport/httpapi/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/primrosereach/primrosereach/protocol"
@@ -25,6 +26,10 @@
 	// forwardTimeout bounds one forwarded attempt, so that a dead process costs a call
 	// a moment and not its whole time.
 	forwardTimeout = 3 * time.Second
+	// waitPart is the part of a caller's wait that is asked of one process at once. A
+	// leader that is paused or cut off does not break its connections: without parts,
+	// a caller would hear nothing until its whole wait had passed.
+	waitPart = 3 * time.Second
 )
 
 // Forwarder sends operations to other processes.
@@ -35,7 +40,8 @@
 }
 
 // Route performs an operation here or at the process that owns its subject, and
-// tries again while leadership changes. All operations are idempotent.
+// tries again while leadership changes. All operations are idempotent. An operation
+// that waits is performed in parts, each at the leader of that moment.
 func (s *Server) Route(ctx context.Context, op protocol.Operation) protocol.Result {
 	hold := callTimeout
 	if op.Name == protocol.OpSubmit {
@@ -43,20 +49,60 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hold+op.Wait)
 	defer cancel()
-	began, age, delay := time.Now(), op.Age, retryMin
+	began := time.Now()
+	r := route{op: op, began: began, until: began.Add(op.Wait), failing: began, hold: hold, delay: retryMin}
 	for {
-		op.Age = age + time.Since(began)
-		res := s.attempt(ctx, op)
-		if !res.Retryable() {
+		res := s.attempt(ctx, r.part(s.ending))
+		if !res.Retryable() && !r.goesOn(res) {
 			return res
 		}
-		if time.Since(began) > hold || !pause(ctx, delay) {
-			return s.exhausted(op, res)
+		if res.Retryable() && (r.exhausted() || !pause(ctx, r.delay)) {
+			return s.giveUp(&r, res)
 		}
-		delay = min(2*delay, retryMax)
 	}
 }
 
+// route is the state of one call of Route.
+type route struct {
+	op      protocol.Operation
+	began   time.Time
+	until   time.Time        // end of the caller's wait
+	failing time.Time        // since when no process has answered
+	hold    time.Duration    // how long attempts may fail
+	delay   time.Duration    // before the next attempt after a failure
+	open    *protocol.Result // last answer, if the outcome was not final
+}
+
+// part returns the operation of the next attempt. ending ends all waits.
+func (r *route) part(ending context.Context) protocol.Operation {
+	op := r.op
+	op.Age += time.Since(r.began)
+	op.Wait = max(0, min(time.Until(r.until), waitPart))
+	if ending.Err() != nil {
+		op.Wait, r.until = 0, r.began
+	}
+	return op
+}
+
+// goesOn reports whether the outcome is open and the caller still waits for it. A
+// submission that was accepted goes on as a lookup.
+func (r *route) goesOn(res protocol.Result) bool {
+	if res.Status != http.StatusAccepted || !time.Now().Before(r.until) {
+		return false
+	}
+	r.open, r.failing, r.delay = &res, time.Now(), retryMin
+	if r.op.Name == protocol.OpSubmit {
+		r.op.Name, r.op.Body = protocol.OpLookup, nil
+	}
+	return true
+}
+
+// exhausted reports whether attempts have failed for too long. It doubles the delay.
+func (r *route) exhausted() bool {
+	r.delay = min(2*r.delay, retryMax)
+	return time.Since(r.failing) > r.hold || r.open != nil && time.Now().After(r.until)
+}
+
 // attempt follows redirects until a process answers.
 func (s *Server) attempt(ctx context.Context, op protocol.Operation) protocol.Result {
 	res := s.Perform(ctx, op)
@@ -83,13 +129,16 @@
 	return s.forwarder.Forward(ctx, address, op)
 }
 
-// exhausted answers a call for which no owner could be reached in time. A
-// submission may have been accepted all the same.
-func (s *Server) exhausted(op protocol.Operation, last protocol.Result) protocol.Result {
-	if op.Name != protocol.OpSubmit && op.Name != protocol.OpCancel && op.Name != protocol.OpConfigure {
+// giveUp answers a call for which no owner could be reached in time. A submission
+// may have been accepted all the same; one that was is not in doubt.
+func (s *Server) giveUp(r *route, last protocol.Result) protocol.Result {
+	if r.open != nil {
+		return *r.open
+	}
+	if r.op.Name != protocol.OpSubmit && r.op.Name != protocol.OpCancel && r.op.Name != protocol.OpConfigure {
 		return last
 	}
-	return s.fail(op, &protocol.Error{
+	return s.fail(r.op, &protocol.Error{
 		Code:         protocol.CodeUnknownOutcome,
 		Message:      "the owner could not be reached in time: the outcome is not known, send the same call again later",
 		RetryAfterMS: 1000,
--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,8 +35,9 @@
 	Loop        Loop
 	Forwarder   Forwarder
 	Access      *access.Access
-	MaxBody     int64        // bytes
-	Metrics     http.Handler // nil for none
+	MaxBody     int64         // bytes
+	Timeout     time.Duration // of one call, its wait included
+	Metrics     http.Handler  // nil for none
 }
 
 // Server implements the API.
@@ -47,6 +49,9 @@
 	forwarder   Forwarder
 	access      *access.Access
 	mux         *http.ServeMux
+	ending      context.Context // ends all waits for outcomes
+	endWaits    context.CancelFunc
+	draining    atomic.Bool
 }
 
 // maxWait bounds how long a call may wait for a final outcome.
@@ -58,12 +63,27 @@
 		Config: c, name: c.Name, peerAddress: c.PeerAddress, loop: c.Loop, forwarder: c.Forwarder, access: c.Access,
 		mux: http.NewServeMux(),
 	}
+	s.ending, s.endWaits = context.WithCancel(context.Background())
 	s.routes()
 	return s
 }
 
+// Drain asks clients to close their connections after the next answer. A connection
+// that is closed while a call is on its way interrupts that call.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// EndWaits answers the calls that wait for an outcome with the current one.
+func (s *Server) EndWaits() { s.endWaits() }
+
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
+	defer cancel()
+	s.mux.ServeHTTP(w, r.WithContext(ctx))
+}
 
 func (s *Server) routes() {
 	caller, operator, endpoint := protocol.RoleCaller, protocol.RoleOperator, protocol.RoleEndpoint
@@ -100,7 +120,7 @@
 		if target != "" {
 			op.Target = r.PathValue(target)
 		}
-		if err := readWait(r, &op); err != nil {
+		if err := s.readWait(r, &op); err != nil {
 			write(w, s.fail(op, err))
 			return
 		}
@@ -112,7 +132,9 @@
 	}
 }
 
-func readWait(r *http.Request, op *protocol.Operation) *protocol.Error {
+// readWait reads how long the caller waits. Half of the call's time remains for
+// finding the leader.
+func (s *Server) readWait(r *http.Request, op *protocol.Operation) *protocol.Error {
 	v := r.URL.Query().Get("wait")
 	if v == "" {
 		return nil
@@ -121,7 +143,7 @@
 	if err != nil || d < 0 {
 		return &protocol.Error{Code: protocol.CodeInvalid, Message: fmt.Sprintf(`wait: %q is not a duration such as "30s"`, v)}
 	}
-	op.Wait = min(d, maxWait)
+	op.Wait = min(d, maxWait, s.Timeout/2)
 	return nil
 }
 
