endpoint: answer a start that finds the queue full

Cause: Execute ignored that Enqueue found the queue full. The leader keeps a start as "under way" until it hears StartAnswered, so resendStarts never sent it again: the task stayed assigned and held its reservation until its endpoint restarted.

Ruled out: heartbeats do not repeat starts, only stops.

Change: such starts go to a list whose goroutine answers StartUnreachable. The control goroutine neither blocks nor sends to its own channel.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -139,7 +139,7 @@
 	case coordination.SendPeer:
 		p.peers.Send(e.Address, e.Message)
 	case coordination.StartTask, coordination.StopTask:
-		p.tasks.Enqueue(e) // heartbeats and resends repeat what a full queue drops
+		p.tasks.Enqueue(e)
 	case coordination.Measure:
 		p.metrics.Observe(e)
 	case coordination.Log:
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -46,6 +46,10 @@
 	logger hclog.Logger
 	queue  chan coordination.Effect
 	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	dropped []coordination.StartTask // not answered yet; at most the open tasks
+	signal  chan struct{}            // has room for one
 }
 
 // NewClient returns a client whose workers run until ctx ends.
@@ -55,21 +59,53 @@
 	c := &Client{
 		http: &http.Client{Transport: transport, Timeout: callTimeout}, scheme: scheme,
 		loop: loop, logger: logger, queue: make(chan coordination.Effect, queueLength),
+		signal: make(chan struct{}, 1),
 	}
+	c.wg.Go(func() { c.answerDropped(ctx) })
 	for range workers {
 		c.wg.Go(func() { c.work(ctx) })
 	}
 	return c
 }
 
-// Enqueue queues a StartTask or StopTask. It never blocks; it reports false if the
-// queue is full.
-func (c *Client) Enqueue(e coordination.Effect) bool {
+// Enqueue queues a StartTask or StopTask. It never blocks. A start for which the
+// queue has no room is answered as not delivered, so that it is sent again; heartbeat
+// answers repeat such a stop.
+func (c *Client) Enqueue(e coordination.Effect) {
 	select {
 	case c.queue <- e:
-		return true
+		return
 	default:
-		return false
+	}
+	s, ok := e.(coordination.StartTask)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	c.dropped = append(c.dropped, s)
+	c.mu.Unlock()
+	select {
+	case c.signal <- struct{}{}:
+	default:
+	}
+}
+
+// answerDropped answers the starts that found the queue full. The control goroutine
+// cannot do that itself: it must not wait for room among its own events.
+func (c *Client) answerDropped(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.signal:
+		}
+		c.mu.Lock()
+		dropped := c.dropped
+		c.dropped = nil
+		c.mu.Unlock()
+		for _, s := range dropped {
+			c.loop.Send(ctx, coordination.StartAnswered{Start: s, Result: coordination.StartUnreachable, Reason: "too many calls to endpoints are waiting"})
+		}
 	}
 }
 
