coordination: a new domain group sets its request horizon

Cause: nothing proposed the Bootstrap command, so the horizon of a new group stayed 0 and it accepted IDs of any age. After the loss of all disks, a late resend of an unrepeatable request would have run a second time (docs/design.md 3.2, G5).

Ruled out: the check of the horizon, in the leader and in Apply, is right.

Change: the first leader proposes Bootstrap with its wall-clock time before it plans, and answers "unavailable" until that is applied.

Conclusion: IDs issued before the bootstrap of a group are refused. This includes IDs handed out by an entry process while its group was still being founded.

--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -30,6 +30,7 @@
 	waiters    map[state.Key][]Token    // calls that wait for a final record
 	waitingFor map[Token]state.Key
 	adopting   bool
+	founding   bool // the group's Bootstrap command is in the log
 	nextSweep  time.Duration
 	nextForget time.Duration
 }
@@ -137,12 +138,26 @@
 	if r.domain == nil {
 		return
 	}
+	if r.domain.HorizonS() == 0 {
+		n.setHorizon(r)
+		return
+	}
 	n.adoptConfiguration(r)
 	for _, plan := range l.sched.Plan(n.clock) {
 		n.proposePlan(r, plan)
 	}
 }
 
+// setHorizon makes a new group refuse IDs that an earlier one may have run. Until it
+// is applied, the leader answers nothing.
+func (n *Node) setHorizon(r *replica) {
+	if r.lead.founding {
+		return
+	}
+	horizon := max(1, n.clock.WallMS/1000) // 0 means not set
+	r.lead.founding = n.propose(r, state.Command{Bootstrap: &state.Bootstrap{HorizonS: horizon}}, nil)
+}
+
 func (n *Node) proposePlan(r *replica, plan *state.Assign) {
 	sched := r.lead.sched
 	ok := n.propose(r, state.Command{Assign: plan}, func(a state.Applied, committed bool) {
--- a/coordination/requests.go
+++ b/coordination/requests.go
@@ -34,6 +34,10 @@
 		return nil
 	}
 	if r.lead != nil {
+		if r.domain != nil && r.domain.HorizonS() == 0 {
+			n.reply(t, unavailable(group+" is being bootstrapped"))
+			return nil
+		}
 		if r.raft.HasLease(n.clock.Now) {
 			return r
 		}
