--- a/demo/load/client.go
+++ b/demo/load/client.go
@@ -27,6 +27,8 @@
 	// status is 0 if there was no answer at all.
 	Unanswered func(server, call string, status int, text string)
 
+	Token string // sent as bearer token, if not ""
+
 	http  *http.Client
 	calls atomic.Int64
 }
@@ -68,6 +70,9 @@
 	if err != nil {
 		return 0, err.Error()
 	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	req.Header.Set(protocol.HeaderTeam, team)
 	req.Header.Set(protocol.HeaderOperator, "demo")
 	res, err := c.http.Do(req)
