--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -35,6 +35,7 @@
 	waitingFor map[Token]state.Key
 	reporting  map[state.TaskRef]bool // attempts whose report is in the log
 	adopting   bool
+	founding   bool // the group's Bootstrap command is in the log
 	nextSweep  time.Duration
 	nextForget time.Duration
 }
@@ -152,6 +153,10 @@
 	if r.domain == nil {
 		return
 	}
+	if r.domain.HorizonS() == 0 {
+		n.setHorizon(r)
+		return
+	}
 	n.adoptConfiguration(r)
 	n.followHealth(r)
 	for _, plan := range l.sched.Plan(n.clock) {
@@ -180,6 +185,16 @@
 	return out[max(0, len(out)-historyLength):]
 }
 
+// setHorizon makes a new group refuse IDs that an earlier one may have run. Until it
+// is applied, the leader answers nothing.
+func (n *Node) setHorizon(r *replica) {
+	if r.lead.founding {
+		return
+	}
+	horizon := max(1, n.clock.WallMS/1000) // 0 means not set
+	r.lead.founding = n.propose(r, state.Command{Bootstrap: &state.Bootstrap{HorizonS: horizon}}, nil)
+}
+
 func (n *Node) proposePlan(r *replica, plan *state.Assign) {
 	sched := r.lead.sched
 	ok := n.propose(r, state.Command{Assign: plan}, func(a state.Applied, committed bool) {
