schedulingbench: count the tasks started on stragglers

Cause: the report did not show whether slow endpoints get less. Change: a column with the tasks started on stragglers.

--- a/coordination/scheduling/schedulingbench/report.go
+++ b/coordination/scheduling/schedulingbench/report.go
@@ -45,10 +45,10 @@
 				ms(P(r.Wait, kind, 50)), ms(P(r.Wait, kind, 99)), ms(Worst(r.Wait, kind)), ms(P(r.Crest, kind, 99)), ms(Worst(r.Crest, kind)))
 		}
 	}
-	b.WriteString("\n| shape | scenario | scheduler | placements | packing | refused | late | failed | not started | on broken | rejected plans | violations | allocations | visits | plans | events per placement |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
+	b.WriteString("\n| shape | scenario | scheduler | placements | packing | refused | late | failed | not started | on broken | on stragglers | rejected plans | violations | allocations | visits | plans | events per placement |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n")
 	for _, r := range results {
-		fmt.Fprintf(&b, "| %s | %s | %s | %d | %.1f%% | %s | %s | %s | %s | %d | %d | %d of %d | %s | %.1f | %.2f | %.2f |\n", r.Shape, r.Scenario, r.Scheduler,
-			r.Placements, 100*r.Packing, counts(r.Refused), counts(r.Late), counts(r.Failed), counts(r.Unstarted), r.OnBroken, r.Rejected, r.Violations, r.Checks,
+		fmt.Fprintf(&b, "| %s | %s | %s | %d | %.1f%% | %s | %s | %s | %s | %d | %d | %d | %d of %d | %s | %.1f | %.2f | %.2f |\n", r.Shape, r.Scenario, r.Scheduler,
+			r.Placements, 100*r.Packing, counts(r.Refused), counts(r.Late), counts(r.Failed), counts(r.Unstarted), r.OnBroken, r.OnStragglers, r.Rejected, r.Violations, r.Checks,
 			allocations(r), r.Visits, r.Plans, r.Events)
 	}
 	_, err := io.WriteString(w, b.String())
