placement: choose the workers of a reservation by upper estimates

Cause: a reservation starts with the last task to end on its workers, and the workers were chosen by the mean of what runs there. Change: the choice goes by the upper estimates; the expected start and the promise to backfill are judged as before.

--- a/coordination/placement/reservation.go
+++ b/coordination/placement/reservation.go
@@ -32,7 +32,8 @@
 }
 
 // PlanReservation chooses the nodes on which the given number of tasks fit
-// earliest, judged by the ends of what runs there. It returns nil if even all work
+// earliest, judged by the upper estimates of what runs there: the start is decided by
+// the last task to end, which outlives its mean. It returns nil if even all work
 // that ends leaves too little room. The cost is that of a scan over the nodes and
 // their tasks, so it is meant for the holder of a reservation only.
 func (p *Pool) PlanReservation(k state.Key, perTask state.Resources, tasks int, nowMS int64) *Reservation {
@@ -48,7 +49,7 @@
 		}
 		return all[i].node.id < all[j].node.id
 	})
-	r := &Reservation{Key: k, PerTask: perTask, StartMS: nowMS}
+	r := &Reservation{Key: k, PerTask: perTask}
 	at := map[*Node]int{}
 	for _, o := range all {
 		if tasks == 0 {
@@ -56,7 +57,6 @@
 		}
 		n := min(tasks, o.tasks)
 		tasks -= n
-		r.StartMS = o.atMS
 		if i, ok := at[o.node]; ok {
 			r.Parts[i].Tasks += n
 			continue
@@ -67,6 +67,7 @@
 	if tasks > 0 {
 		return nil
 	}
+	r.StartMS = r.Expected(nowMS)
 	r.PromiseMS = r.freeAt(nowMS, func(t *Running) int64 { return min(t.EarlyMS, t.remainsUntil(nowMS)) })
 	r.LateMS = r.freeAt(nowMS, func(t *Running) int64 { return max(t.LateMS, t.remainsUntil(nowMS)) })
 	return r
@@ -82,7 +83,7 @@
 	ends := make([]Running, 0, len(n.Running))
 	for _, r := range n.Running {
 		if r.EndMS != Forever {
-			r.EndMS = r.remainsUntil(nowMS)
+			r.EndMS = max(r.LateMS, r.remainsUntil(nowMS))
 			ends = append(ends, r)
 		}
 	}
