schedulingbench: measure the scheduler that the daemon runs

Cause: the bounds were measured with the scheduler's simple defaults, while a leader runs with the learned estimates, retry budgets and health of endpoints. Change: the bench builds its scheduler from package policy; run times are given as the mean of the predicted distribution, which the queue limits need. Conclusion: what is measured is what runs.

--- a/coordination/policy/policy.go
+++ b/coordination/policy/policy.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"math"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/estimate"
@@ -52,7 +53,18 @@
 	if p.Samples == 0 {
 		p.P90 = declaredMargin * p.P50
 	}
-	return scheduling.Estimate{RunMS: p.P50.Milliseconds(), UpperMS: p.P90.Milliseconds(), Reliability: p.Reliability}
+	return scheduling.Estimate{RunMS: mean(p).Milliseconds(), UpperMS: p.P90.Milliseconds(), Reliability: p.Reliability}
+}
+
+// quantile90 is the 90% quantile of the standard normal distribution.
+const quantile90 = 1.2816
+
+// mean returns the mean of the log-normal distribution that has the predicted
+// quantiles. The median understates the work in a queue: with it, deferrable work
+// waited beyond its bound.
+func mean(p estimate.Prediction) time.Duration {
+	sigma := math.Log(float64(p.P90)/float64(p.P50)) / quantile90
+	return time.Duration(float64(p.P50) * math.Exp(sigma*sigma/2))
 }
 
 // Speed implements scheduling.Estimator.
--- a/coordination/scheduling/schedulingbench/bench_test.go
+++ b/coordination/scheduling/schedulingbench/bench_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"testing"
-
-	"github.com/primrosereach/primrosereach/coordination/scheduling"
 )
 
 // BenchmarkPlacement reports the control cost of a placement at two sizes of the
@@ -16,7 +14,7 @@
 		}
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				r, err := Run(sc, "primrosereach", scheduling.New(scheduling.Options{}))
+				r, err := Run(sc, "primrosereach", NewProduct())
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/coordination/scheduling/schedulingbench/bounds_test.go
+++ b/coordination/scheduling/schedulingbench/bounds_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/state"
 )
 
@@ -22,7 +21,7 @@
 
 func runScenario(t *testing.T, sc Scenario) *Result {
 	t.Helper()
-	r, err := Run(sc, "primrosereach", scheduling.New(scheduling.Options{}))
+	r, err := Run(sc, "primrosereach", NewProduct())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/coordination/scheduling/schedulingbench/report.go
+++ b/coordination/scheduling/schedulingbench/report.go
@@ -19,7 +19,7 @@
 // Contenders returns the project's scheduler and the baselines.
 func Contenders() []Contender {
 	return []Contender{
-		{"primrosereach", func() scheduling.Scheduler { return scheduling.New(scheduling.Options{}) }},
+		{"primrosereach", func() scheduling.Scheduler { return NewProduct() }},
 		{"no admission limit", NewUnlimited},
 		{"first come first served", func() scheduling.Scheduler { return NewFCFS() }},
 		{"first fit", func() scheduling.Scheduler { return NewFirstFit() }},
