policy: admission by rates, queue lengths and deadlines

Cause: admission was the scheduler's simple bound on waiting; rates of the configuration, bounded queues and limits that follow the observed completions were written and not used. Change: the Admitter sees the load of every class and the configuration; package policy puts the admission controller behind the bound of each class.

--- a/coordination/policy/policy.go
+++ b/coordination/policy/policy.go
@@ -1,11 +1,12 @@
-// Package policy combines the learned estimates, the retry budgets and the health
-// of endpoints into the options of a scheduler.
+// Package policy combines the learned estimates, the limits on admission, the retry
+// budgets and the health of endpoints into the options of a scheduler.
 package policy
 
 import (
 	"math"
 	"time"
 
+	"github.com/primrosereach/primrosereach/coordination/admission"
 	"github.com/primrosereach/primrosereach/coordination/estimate"
 	"github.com/primrosereach/primrosereach/coordination/health"
 	"github.com/primrosereach/primrosereach/coordination/retry"
@@ -25,7 +26,9 @@
 		e.Observe(scheduling.Clock{}, o)
 	}
 	p := retry.New(uniform{r})
-	return scheduling.Options{Estimator: e, Retry: &retries{policy: p}, Health: &quarantine{tracker: t, retries: p}}
+	a := &admitter{controller: admission.New()}
+	e.completed = a.controller.Completed
+	return scheduling.Options{Estimator: e, Admitter: a, Retry: &retries{policy: p}, Health: &quarantine{tracker: t, retries: p}}
 }
 
 // uniform implements retry.Random.
@@ -35,7 +38,10 @@
 func (u uniform) Float64() float64 { return float64(u.r.Uint64()>>11) / (1 << 53) }
 
 // estimator implements scheduling.Estimator.
-type estimator struct{ learned *estimate.Estimator }
+type estimator struct {
+	learned   *estimate.Estimator
+	completed func(now time.Duration, c state.Class, run time.Duration) // nil while history is learned
+}
 
 const (
 	// unknownRun is assumed of a kind that declares nothing and was never observed.
@@ -76,6 +82,9 @@
 	if o.Status != state.TaskDone || o.RunMS <= 0 || o.Record.Class == state.ClassService {
 		return
 	}
+	if e.completed != nil {
+		e.completed(c.Now, o.Record.Class, milliseconds(e.Estimate(&o.Record.Request).RunMS))
+	}
 	e.learned.Observe(c.Now, estimate.Observation{
 		Team: o.Record.Team, Kind: o.Record.Kind, Endpoint: o.Endpoint, DeclaredMS: o.Record.EstimateMS, RunMS: o.RunMS,
 	})
--- a/coordination/scheduling/defaults.go
+++ b/coordination/scheduling/defaults.go
@@ -88,7 +88,12 @@
 // the bound of its class or its deadline.
 type boundedWait struct{}
 
-func (boundedWait) Admit(c Clock, r *state.Request, e Estimate, l Load) Verdict {
+// Configure implements Admitter.
+func (boundedWait) Configure(state.Configuration) {}
+
+// Admit implements Admitter.
+func (boundedWait) Admit(c Clock, r *state.Request, e Estimate, loads Loads) Verdict {
+	l := loads(r.Class)
 	wait := l.WaitMS()
 	if l.BoundMS > 0 && wait > l.BoundMS {
 		return Verdict{Reason: fmt.Sprintf("%s work would wait %d ms, the limit is %d ms", r.Class, wait, l.BoundMS), RetryAfterMS: wait - l.BoundMS}
--- a/coordination/scheduling/jobs.go
+++ b/coordination/scheduling/jobs.go
@@ -204,7 +204,7 @@
 func (s *planner) taskStarted(j *job, i int, t *state.Task) {
 	r := &j.rec.Request
 	s.ledger.add(r.Team, r.PerTask, t.Borrowed, 1)
-	s.countSlots(j, 1)
+	s.countRunning(j, 1)
 	n := s.poolOf(r.Class).Node(t.Endpoint)
 	if n == nil {
 		return
@@ -223,7 +223,7 @@
 func (s *planner) taskEnded(j *job, i int, t *state.Task) {
 	r := &j.rec.Request
 	s.ledger.add(r.Team, r.PerTask, t.Borrowed, -1)
-	s.countSlots(j, -1)
+	s.countRunning(j, -1)
 	s.quotaFreed(r.Team)
 	if n := s.poolOf(r.Class).Node(t.Endpoint); n != nil {
 		n.RemoveRunning(r.Key, i)
--- a/coordination/scheduling/limits.go
+++ b/coordination/scheduling/limits.go
@@ -30,7 +30,7 @@
 		}
 		return v
 	}
-	return s.opt.Admitter.Admit(c, r, s.opt.Estimator.Estimate(r), s.load(r))
+	return s.opt.Admitter.Admit(c, r, s.opt.Estimator.Estimate(r), func(class state.Class) Load { return s.load(r, class) })
 }
 
 // admitQuota refuses what the quotas never allow.
@@ -69,11 +69,16 @@
 	return fmt.Sprintf("%.1f cores, %d MB, %d accelerators", float64(r.MilliCores)/1000, r.MemoryMB, r.Accelerators)
 }
 
-// load describes the queue that the request would join.
-func (s *planner) load(r *state.Request) Load {
-	q := s.queues[bandOf(r.Class)]
-	l := Load{Waiting: q.Len(), WaitingMS: q.Cost(), Capacity: s.poolOf(r.Class).Possible(r.PerTask, 1<<20)}
-	switch r.Class {
+// load describes the queue of a class as a request sees it. For another class than
+// the request's own it is that of tasks of one slot.
+func (s *planner) load(r *state.Request, class state.Class) Load {
+	need := r.PerTask
+	if class != r.Class {
+		need = state.Resources{Slots: 1}
+	}
+	q := s.queues[bandOf(class)]
+	l := Load{Waiting: q.Len(), WaitingMS: q.Cost(), Running: s.running[class], Capacity: s.poolOf(class).Possible(need, 1<<20)}
+	switch class {
 	case state.ClassUrgent:
 		l.BoundMS = urgentStartMS
 	case state.ClassInteractive:
--- a/coordination/scheduling/options.go
+++ b/coordination/scheduling/options.go
@@ -23,6 +23,7 @@
 // Load describes the queue that a request would join.
 type Load struct {
 	Waiting   int   // tasks of the class
+	Running   int   // tasks of the class, planned ones included
 	WaitingMS int64 // sum of their expected run times
 	Capacity  int   // tasks of the request's size that its class may run at once
 	BoundMS   int64 // longest wait before the start that the class allows, 0 for none
@@ -31,9 +32,13 @@
 // WaitMS returns the expected wait of a task that joins the end of the queue.
 func (l Load) WaitMS() int64 { return l.WaitingMS / int64(max(1, l.Capacity)) }
 
+// Loads returns the load of a class, for requests like the one to be decided on.
+type Loads func(state.Class) Load
+
 // Admitter decides whether a request that could run should be accepted now.
 type Admitter interface {
-	Admit(c Clock, r *state.Request, e Estimate, l Load) Verdict
+	Configure(cfg state.Configuration)
+	Admit(c Clock, r *state.Request, e Estimate, loads Loads) Verdict
 }
 
 // RetryPolicy decides whether and when a failed task is tried again.
--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -36,6 +36,7 @@
 	expiry   *queue.Timeline[state.Key] // by time of the next look at Expired
 	plans    map[*state.Assign][]reserved
 	slots    slotUse
+	running  map[state.Class]int // tasks, planned ones included
 	gangs    gangState
 	lenders  []parkedLane // lanes that wait for idle quota of other teams
 	lenient  bool         // idle quota has grown since lenders were woken
@@ -79,6 +80,7 @@
 		expiry:  queue.NewTimeline[state.Key](),
 		trials:  queue.NewTimeline[string](),
 		plans:   map[*state.Assign][]reserved{},
+		running: map[state.Class]int{},
 	}
 	for b := range s.queues {
 		s.queues[b] = queue.New(bandOrder[b])
@@ -114,6 +116,7 @@
 // Configure implements Scheduler.
 func (s *planner) Configure(cfg state.Configuration, shares map[string]state.Resources) {
 	s.cfg = cfg
+	s.opt.Admitter.Configure(cfg)
 	s.ledger.setShares(shares)
 	for team, t := range s.ledger.teams {
 		for b, q := range s.queues {
@@ -206,7 +209,7 @@
 		r := &it.job.rec.Request
 		it.pool.Release(it.node, r.PerTask)
 		s.ledger.add(r.Team, r.PerTask, it.borrowed, -1)
-		s.countSlots(it.job, -1)
+		s.countRunning(it.job, -1)
 		s.countRack(it.job, it.node, -1)
 		it.job.inPlans--
 		it.job.tasks[it.task].wait = notWaiting
@@ -238,7 +241,7 @@
 	})
 	p.Reserve(n, r.PerTask)
 	s.ledger.add(r.Team, r.PerTask, borrowed, 1)
-	s.countSlots(j, 1)
+	s.countRunning(j, 1)
 	s.countRack(j, n, 1)
 	j.tasks[i].wait = planned
 	j.inPlans++
--- a/coordination/scheduling/schedulingbench/baseline.go
+++ b/coordination/scheduling/schedulingbench/baseline.go
@@ -231,7 +231,11 @@
 // admitAll is the Admitter of the baseline without an admission limit.
 type admitAll struct{}
 
-func (admitAll) Admit(scheduling.Clock, *state.Request, scheduling.Estimate, scheduling.Load) scheduling.Verdict {
+// Configure implements scheduling.Admitter.
+func (admitAll) Configure(state.Configuration) {}
+
+// Admit implements scheduling.Admitter.
+func (admitAll) Admit(scheduling.Clock, *state.Request, scheduling.Estimate, scheduling.Loads) scheduling.Verdict {
 	return scheduling.Verdict{Admit: true}
 }
 
--- a/coordination/scheduling/slots.go
+++ b/coordination/scheduling/slots.go
@@ -31,7 +31,9 @@
 	peakMS     int64   // when it was last renewed
 }
 
-func (s *planner) countSlots(j *job, by int) {
+// countRunning counts a task that was planned, or that ended.
+func (s *planner) countRunning(j *job, by int) {
+	s.running[j.rec.Class] += by
 	switch j.rec.Class {
 	case state.ClassDeferrable:
 		s.slots.deferrable += by
