daemon: idle connections do not keep clients out at the connection limit

Cause: at max_connections, answered clients kept their idle connections for up to 60 s, and nobody else could connect, the balancer's readiness check included.

Ruled out: clients that never finish a header are closed after 5 s as intended.

Change: from three quarters of the limit on, answers carry "Connection: close".

Before and after: TestConnectionLimit (limit 8, 8 clients with half a header, then 40 clients that keep their connections) did not end within 90 s, now 5 s.

Conclusion: a quarter of the connections always turns over.

--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -158,7 +158,10 @@
 	p.logger.Log(hclog.LevelFromString(e.Level), e.Message, args...)
 }
 
-type listeners struct{ public, peer net.Listener }
+type listeners struct {
+	public *limited
+	peer   net.Listener
+}
 
 func (l *listeners) close() {
 	_ = l.public.Close()
@@ -200,7 +203,7 @@
 	api := httpapi.New(httpapi.Config{
 		Name: p.settings.Name, Domain: p.settings.Domain, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
 		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
-		Timeout: requestTimeout,
+		Timeout: requestTimeout, Crowded: l.public.crowded,
 	})
 	public := p.newServer(api)
 	public.ReadTimeout, public.WriteTimeout = requestTimeout, requestTimeout+writeMargin
--- a/transport/daemon/limit.go
+++ b/transport/daemon/limit.go
@@ -7,7 +7,7 @@
 
 // limitListener accepts at most n connections at once. Further clients wait in the
 // listen queue of the system.
-func limitListener(l net.Listener, n int) net.Listener {
+func limitListener(l net.Listener, n int) *limited {
 	return &limited{Listener: l, slots: make(chan struct{}, n), closed: make(chan struct{})}
 }
 
@@ -18,6 +18,11 @@
 	once   sync.Once
 }
 
+// crowded reports whether at least three quarters of the connections are in use.
+// Connections should not be kept idle then: others could not connect, the balancer's
+// checks included.
+func (l *limited) crowded() bool { return 4*len(l.slots) >= 3*cap(l.slots) }
+
 // Accept implements net.Listener.
 func (l *limited) Accept() (net.Conn, error) {
 	select {
--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -37,6 +37,7 @@
 	Access      *access.Access
 	MaxBody     int64         // bytes
 	Timeout     time.Duration // of one call, its wait included
+	Crowded     func() bool   // connections must not be kept; nil for never
 	Metrics     http.Handler  // nil for none
 }
 
@@ -77,7 +78,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if s.draining.Load() || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
