--- /dev/null
+++ b/coordination/health/bench_test.go
@@ -0,0 +1,44 @@
+package health
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+const size = 1500
+
+func worker(i int) *state.Endpoint {
+	return &state.Endpoint{Name: fmt.Sprintf("worker-%04d", i), Kind: state.KindWorker, Incarnation: 1, Status: state.EndpointReady}
+}
+
+// BenchmarkHeartbeat is the cost of one heartbeat answer among 1,500 endpoints that
+// answer every 2 s, with the calls that the control goroutine makes for it. It
+// reports the heap per endpoint as well.
+func BenchmarkHeartbeat(b *testing.B) {
+	endpoints := make([]*state.Endpoint, size)
+	for i := range endpoints {
+		endpoints[i] = worker(i)
+	}
+	var m0, m1 runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m0)
+	t := New()
+	for _, e := range endpoints {
+		t.Changed(0, e)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&m1)
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for i := 0; b.Loop(); i++ {
+		now += 2 * time.Second / size
+		t.Answered(now, endpoints[i%size].Name)
+		t.Transitions(now)
+		t.NextDeadline()
+	}
+	b.ReportMetric(float64(m1.HeapAlloc-m0.HeapAlloc)/size, "B/endpoint")
+}
--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -46,6 +46,8 @@
 	more     bool  // the last plan reached its bound
 	tries    int   // failed attempts left in this plan
 	setAside []parkedLane
+	picks    picks
+	filter   timely // reused by each search
 }
 
 type parkedLane struct {
@@ -81,6 +83,7 @@
 	for b := range s.queues {
 		s.queues[b] = queue.New(bandOrder[b])
 	}
+	s.picks = s.newPicks()
 	return s
 }
 
@@ -273,3 +276,7 @@
 	}
 	return out
 }
+
+// Visited returns how many endpoints and racks the searches have looked at, a
+// measure of control cost that does not depend on the machine.
+func (s *planner) Visited() uint64 { return s.runners.Visited + s.workers.Visited }
--- a/coordination/scheduling/slots.go
+++ b/coordination/scheduling/slots.go
@@ -14,6 +14,10 @@
 	promotedEighths    = 1 // left to deferrable work that has waited long, at least
 )
 
+// lastPartOfBound is the divisor of a bound on waiting that gives its last part, in
+// which promoted work may use all slots but the interactive ones.
+const lastPartOfBound = 6
+
 // headroomHalfLifeMS is how fast the memory of a demand peak fades. Swings of the
 // workloads recur within minutes.
 const headroomHalfLifeMS = 300_000
@@ -83,16 +87,12 @@
 // least share before it.
 func (s *planner) planSlots(b *batch) {
 	s.notePeak(b.clock.WallMS)
-	const noSlot = "no runner has a free slot that would finish it in time"
-	prompt := pick{allowed: s.promptAllowed, find: s.findPrompt, reason: noSlot}
-	least := pick{allowed: s.leastAllowed, find: s.findLeisurely, reason: noSlot}
-	leftover := pick{allowed: s.leftoverAllowed, find: s.findLeisurely, reason: noSlot}
-	promoted := pick{allowed: s.promotedAllowed, find: s.findLeisurely, reason: noSlot}
-	s.serve(b, bandPromoted, least)
-	s.serve(b, bandUrgent, prompt)
-	s.serve(b, bandInteractive, prompt)
-	s.serve(b, bandPromoted, promoted)
-	s.serve(b, bandDeferrable, leftover)
+	p := &s.picks
+	s.serve(b, bandPromoted, &p.least)
+	s.serve(b, bandUrgent, &p.prompt)
+	s.serve(b, bandInteractive, &p.prompt)
+	s.serve(b, bandPromoted, &p.promoted)
+	s.serve(b, bandDeferrable, &p.leftover)
 }
 
 func (s *planner) promptAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
@@ -103,8 +103,12 @@
 	return !j.long || s.longAllowed(), s.slots.deferrable >= s.promotedSlots()
 }
 
-func (s *planner) promotedAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
-	return !j.long || s.longAllowed(), s.slots.deferrable >= s.deferrableSlots(false)
+// promotedAllowed lets promoted work use the slots kept for a swing only when its
+// bound is near. The queue is ordered by due time, so the first task decides.
+func (s *planner) promotedAllowed(l *queue.Lane, j *job) (ok, stop bool) {
+	near := l.Head().Due-s.clock.WallMS <= s.bound(&j.rec.Request)/lastPartOfBound
+	stop = s.slots.deferrable >= s.deferrableSlots(j.long && !near)
+	return !j.long || s.longAllowed(), stop
 }
 
 func (s *planner) leftoverAllowed(_ *queue.Lane, j *job) (ok, stop bool) {
@@ -121,11 +125,10 @@
 	return s.runners.MostFree(j.rec.PerTask, normalFirst, s.timely(c, j, it))
 }
 
+// timely returns the filter for an item. It is valid until the next call.
 func (s *planner) timely(c Clock, j *job, it *queue.Item) placement.Filter {
-	f := timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS}
-	if it.Task >= 0 {
-		f.avoids = j.rec.State[it.Task].FailedOn
-	}
+	f := &s.filter
+	*f = timely{nowMS: c.WallMS, dueMS: it.Due, runMS: j.est.RunMS, avoids: s.avoided(j, it.Task)}
 	if j.rec.DeadlineMS > 0 {
 		f.dueMS = j.rec.DeadlineMS
 	}
--- a/coordination/scheduling/workers.go
+++ b/coordination/scheduling/workers.go
@@ -12,12 +12,10 @@
 // planWorkers serves the classes that run on workers. A reservation that is ready
 // is used first, since others wait for the capacity that it holds.
 func (s *planner) planWorkers(b *batch) {
-	const noRoom = "no worker has enough free capacity"
-	always := func(*queue.Lane, *job) (ok, stop bool) { return true, false }
 	s.useReservation(b)
-	s.serve(b, bandService, pick{allowed: always, find: s.findForService, reason: noRoom})
+	s.serve(b, bandService, &s.picks.service)
 	s.planGangs(b)
-	s.serve(b, bandBatch, pick{allowed: always, find: s.findForBatch, reason: noRoom})
+	s.serve(b, bandBatch, &s.picks.batch)
 	s.reserveForBlocked(b.clock)
 }
 
@@ -25,7 +23,7 @@
 // be, and otherwise the rack with the fewest tasks of the service.
 func (s *planner) findForService(_ Clock, j *job, it *queue.Item) *placement.Node {
 	t := &j.rec.State[it.Task]
-	avoid := avoids(t.FailedOn)
+	avoid := s.avoided(j, it.Task)
 	if n := s.workers.Node(t.Endpoint); n != nil && n.Ready() && j.rec.PerTask.FitsIn(n.Available()) && avoid.Allows(n) {
 		return n
 	}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/primrosereach/primrosereach/coordination"
-	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/protocol/access"
 	"github.com/primrosereach/primrosereach/protocol/settings"
 	"github.com/primrosereach/primrosereach/state"
@@ -94,7 +93,7 @@
 	p.writer = persist.NewWriter(logs, p.loop)
 	p.node = coordination.New(coordination.Config{
 		Self: member, Peers: peers, Recovered: recovered, Rand: cryptoRand{},
-		NewScheduler: func() scheduling.Scheduler { return newScheduler() },
+		NewScheduler: newScheduler,
 	}, p.loop.Clock())
 	return nil
 }
@@ -201,7 +200,7 @@
 	p.tasks = endpoint.NewClient(running, p.tls.transport(), p.tls.scheme(), p.loop, p.logger)
 	requestTimeout := time.Duration(p.settings.Limits.RequestTimeoutMS) * time.Millisecond
 	api := httpapi.New(httpapi.Config{
-		Name: p.settings.Name, Domain: p.settings.Domain, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
+		Name: p.settings.Name, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
 		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
 		Timeout: requestTimeout, Crowded: l.public.crowded,
 	})
