statuspage: what waits, why and since when, in a browser

Cause: the status was JSON of one process, which does not know what waits in domains that it does not lead. Each readiness check also went through all records of the process: its cost grew with 7 days of history, on the control goroutine.

Change: GET / and GET /status collect each domain's status from its leader and render one page (html/template, embedded, no scripts or other files). A browser presents an operator's token as password. Readiness checks ask for a status without the groups, and a full status goes through open records in the order of acceptance, so that it lists those that wait longest.

--- a/coordination/event.go
+++ b/coordination/event.go
@@ -124,7 +124,10 @@
 	}
 
 	// ReadStatus asks for the process's view of itself and its groups.
-	ReadStatus struct{ Token Token }
+	ReadStatus struct {
+		Token Token
+		Brief bool // without the groups
+	}
 
 	// Shutdown starts a graceful stop: leadership is passed on and new submissions
 	// are sent to other processes.
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -145,7 +145,7 @@
 	case DrainEndpoint:
 		n.drainEndpoint(e)
 	case ReadStatus:
-		n.emit(Reply{Token: e.Token, Answer: Answer{Code: CodeOK, Status: n.status()}})
+		n.emit(Reply{Token: e.Token, Answer: Answer{Code: CodeOK, Status: n.status(e.Brief)}})
 	case Shutdown:
 		n.shutdown()
 	}
--- a/coordination/requests.go
+++ b/coordination/requests.go
@@ -156,7 +156,7 @@
 	}
 	v := r.lead.sched.Admit(n.clock, req)
 	if !v.Admit {
-		n.refuse(r, e.Token, state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: v.Reason, RetryAfterMS: v.RetryAfterMS})
+		n.refuse(r, e.Token, req.Class, state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: v.Reason, RetryAfterMS: v.RetryAfterMS})
 		return
 	}
 	ok := n.propose(r, state.Command{Accept: &state.Accept{Request: *req}}, func(a state.Applied, committed bool) {
@@ -180,13 +180,15 @@
 	case a.Rejected != nil:
 		n.reply(e.Token, invalid("%s", a.Rejected))
 	default:
+		n.emit(Measure{Metric: MetricAccepted, Class: a.Records[0].Class})
 		n.reply(e.Token, Answer{Code: CodeOK, Record: a.Records[0]})
 	}
 }
 
 // refuse blocks the ID before the caller hears "not run": a copy of the same
-// submission may still be on its way.
-func (n *Node) refuse(r *replica, t Token, f state.Refuse) {
+// submission may still be on its way. class is that of a refusal at admission, "" for
+// a cancel.
+func (n *Node) refuse(r *replica, t Token, class state.Class, f state.Refuse) {
 	ok := n.propose(r, state.Command{Refuse: &f}, func(a state.Applied, committed bool) {
 		switch {
 		case !committed:
@@ -194,7 +196,9 @@
 		case a.Rejected != nil:
 			n.reply(t, Answer{Code: CodeOK, Record: a.Records[0]})
 		default:
-			n.emit(Measure{Metric: MetricRefused, MS: 1})
+			if class != "" {
+				n.emit(Measure{Metric: MetricRefused, Class: class})
+			}
 			n.reply(t, Answer{Code: CodeRefused, Message: f.Reason, RetryAfterMS: f.RetryAfterMS})
 		}
 	})
@@ -321,7 +325,7 @@
 			n.reply(e.Token, n.absent(r, e.Key, issued))
 			return
 		}
-		n.refuse(r, e.Token, state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: "cancelled before it was accepted"})
+		n.refuse(r, e.Token, "", state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: "cancelled before it was accepted"})
 		return
 	}
 	ok := n.propose(r, state.Command{Cancel: &state.Cancel{Key: e.Key, AtMS: n.clock.WallMS, Actor: e.Actor}}, func(a state.Applied, committed bool) {
@@ -341,6 +345,9 @@
 
 func (n *Node) answerWaiters(r *replica, rec *state.Record) {
 	n.emit(Measure{Metric: MetricTotal, Class: rec.Class, Outcome: rec.Outcome(), MS: rec.FinalMS - rec.AcceptedMS})
+	if rec.DeadlineMS > 0 && rec.FinalMS > rec.DeadlineMS {
+		n.emit(Measure{Metric: MetricLate, Class: rec.Class})
+	}
 	for _, token := range r.lead.waiters[rec.Key] {
 		delete(r.lead.waitingFor, token)
 		n.reply(token, Answer{Code: CodeOK, Record: rec})
--- a/coordination/status.go
+++ b/coordination/status.go
@@ -12,9 +12,11 @@
 
 // Metrics.
 const (
-	MetricWait    Metric = "wait"    // from acceptance to assignment
-	MetricTotal   Metric = "total"   // from acceptance to the final outcome
-	MetricRefused Metric = "refused" // one refusal
+	MetricWait     Metric = "wait"     // from acceptance to assignment
+	MetricTotal    Metric = "total"    // from acceptance to the final outcome
+	MetricAccepted Metric = "accepted" // one acceptance
+	MetricRefused  Metric = "refused"  // one refusal at admission
+	MetricLate     Metric = "late"     // one final outcome after the deadline
 )
 
 // Measure is an effect that reports one measurement.
@@ -22,7 +24,7 @@
 	Metric  Metric
 	Class   state.Class
 	Outcome state.Outcome
-	MS      int64 // milliseconds, or a count for MetricRefused
+	MS      int64 // milliseconds, for MetricWait and MetricTotal
 }
 
 func (Measure) effect() {}
@@ -63,7 +65,10 @@
 }
 
 // OpenCount counts the open tasks of a class.
-type OpenCount struct{ Queued, Assigned int }
+type OpenCount struct {
+	Queued, Assigned int
+	OldestMS         int64 // acceptance of the request that has waited longest, Unix milliseconds; 0 if none waits
+}
 
 // maxWaitingListed bounds the waiting requests in a status.
 const maxWaitingListed = 50
@@ -75,7 +80,9 @@
 	return !n.stopping && n.failed == nil && leader != "" && n.home.appliedTerm == term
 }
 
-func (n *Node) status() *Status {
+// status describes the process. A brief one leaves out the groups, whose cost grows
+// with the number of records.
+func (n *Node) status(brief bool) *Status {
 	s := &Status{
 		Name: n.self.Name, Domain: n.self.Domain, Incarnation: n.self.Incarnation, Uptime: n.clock.Now,
 		Ready: n.ready(), Stopping: n.stopping,
@@ -85,6 +92,9 @@
 	if n.failed != nil {
 		s.Failed = n.failed.Error()
 	}
+	if brief {
+		return s
+	}
 	for _, r := range n.hosted {
 		s.Groups = append(s.Groups, n.groupStatus(r))
 	}
@@ -99,24 +109,28 @@
 	g.Records = r.domain.RecordCount()
 	g.Open = map[state.Class]OpenCount{}
 	g.Endpoints = r.domain.Endpoints()
-	r.domain.Records(func(rec *state.Record) bool {
-		if rec.Final() {
-			return true
-		}
-		c := g.Open[rec.Class]
-		for i := range rec.State {
-			switch rec.State[i].Status {
-			case state.TaskQueued:
-				c.Queued++
-			case state.TaskAssigned:
-				c.Assigned++
-			}
-		}
-		g.Open[rec.Class] = c
+	for _, rec := range r.domain.OpenRecords() {
+		g.Open[rec.Class] = countOpen(g.Open[rec.Class], rec)
 		if r.lead != nil && len(g.Waiting) < maxWaitingListed && rec.Outcome() == state.OutcomeWaiting {
 			g.Waiting = append(g.Waiting, Waiting{Key: rec.Key, Kind: rec.Kind, Class: rec.Class, SinceMS: rec.AcceptedMS, Why: r.lead.sched.WhyWaiting(rec.Key)})
 		}
-		return true
-	})
+	}
 	return g
 }
+
+// countOpen adds the tasks of a record. Records come in the order of their
+// acceptance.
+func countOpen(c OpenCount, rec *state.Record) OpenCount {
+	for i := range rec.State {
+		switch rec.State[i].Status {
+		case state.TaskQueued:
+			c.Queued++
+			if c.OldestMS == 0 {
+				c.OldestMS = rec.AcceptedMS
+			}
+		case state.TaskAssigned:
+			c.Assigned++
+		}
+	}
+	return c
+}
--- a/protocol/operation.go
+++ b/protocol/operation.go
@@ -35,6 +35,7 @@
 	OpCellAudit         OperationName = "read cell audit"
 	OpEndpoints         OperationName = "list endpoints"
 	OpDomainAudit       OperationName = "read domain audit"
+	OpDomainStatus      OperationName = "read domain status"
 	OpDrain             OperationName = "drain"
 	OpHeartbeat         OperationName = "heartbeat"
 	OpReport            OperationName = "report"
--- a/protocol/status.go
+++ b/protocol/status.go
@@ -50,8 +50,9 @@
 
 // OpenTasks counts the open tasks of a class.
 type OpenTasks struct {
-	Queued   int `json:"queued"`
-	Assigned int `json:"assigned"`
+	Queued   int   `json:"queued"`
+	Assigned int   `json:"assigned"`
+	OldestMS int64 `json:"oldest_ms,omitempty"` // acceptance of the request that has waited longest, Unix milliseconds
 }
 
 // WaitingRequest tells what waits, why, and since when.
@@ -97,7 +98,7 @@
 		out.Open = map[state.Class]OpenTasks{}
 	}
 	for c, n := range g.Open {
-		out.Open[c] = OpenTasks{Queued: n.Queued, Assigned: n.Assigned}
+		out.Open[c] = OpenTasks{Queued: n.Queued, Assigned: n.Assigned, OldestMS: n.OldestMS}
 	}
 	for _, w := range g.Waiting {
 		out.Waiting = append(out.Waiting, WaitingRequest{Team: w.Key.Team, ID: w.Key.ID, Kind: w.Kind, Class: w.Class, SinceMS: w.SinceMS, Why: w.Why})
--- a/transport/httpapi/health.go
+++ b/transport/httpapi/health.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/primrosereach/primrosereach/coordination"
@@ -9,7 +10,7 @@
 
 // healthz answers while the control goroutine does.
 func (s *Server) healthz(w http.ResponseWriter, r *http.Request) {
-	if _, ok := s.readStatus(r); !ok {
+	if _, ok := s.readStatus(r.Context(), true); !ok {
 		http.Error(w, "the control goroutine does not answer", http.StatusServiceUnavailable)
 		return
 	}
@@ -18,7 +19,7 @@
 
 // readyz tells the balancer whether to send callers here.
 func (s *Server) readyz(w http.ResponseWriter, r *http.Request) {
-	st, ok := s.readStatus(r)
+	st, ok := s.readStatus(r.Context(), true)
 	if !ok || !st.Ready {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
@@ -26,15 +27,15 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
-func (s *Server) readStatus(r *http.Request) (*coordination.Status, bool) {
-	a, ok := s.loop.Call(r.Context(), func(t coordination.Token) coordination.Event {
-		return coordination.ReadStatus{Token: t}
+func (s *Server) readStatus(ctx context.Context, brief bool) (*coordination.Status, bool) {
+	a, ok := s.loop.Call(ctx, func(t coordination.Token) coordination.Event {
+		return coordination.ReadStatus{Token: t, Brief: brief}
 	})
 	return a.Status, ok && a.Status != nil
 }
 
 func (s *Server) status(w http.ResponseWriter, r *http.Request, _ protocol.Identity) {
-	st, ok := s.readStatus(r)
+	st, ok := s.readStatus(r.Context(), false)
 	if !ok {
 		write(w, s.fail(protocol.Operation{Name: "status"}, &protocol.Error{Code: protocol.CodeUnavailable, Message: "the control goroutine does not answer"}))
 		return
--- a/transport/httpapi/perform.go
+++ b/transport/httpapi/perform.go
@@ -29,6 +29,8 @@
 		return s.readCell(ctx, op)
 	case protocol.OpEndpoints, protocol.OpDomainAudit:
 		return s.endpoints(ctx, op)
+	case protocol.OpDomainStatus:
+		return s.domainStatus(ctx, op)
 	case protocol.OpDrain:
 		return s.drain(ctx, op)
 	case protocol.OpHeartbeat:
@@ -185,6 +187,24 @@
 	return protocol.OKResult(endpointList(a.Endpoints))
 }
 
+// domainStatus returns the leader's view of a domain group.
+func (s *Server) domainStatus(ctx context.Context, op protocol.Operation) protocol.Result {
+	_, failed := s.call(ctx, op, func(t coordination.Token) coordination.Event {
+		return coordination.ListEndpoints{Token: t, Domain: op.Domain} // redirects to the leader
+	})
+	if failed != nil {
+		return *failed
+	}
+	if st, ok := s.readStatus(ctx, false); ok {
+		for _, g := range protocol.NewProcessStatus(st).Groups {
+			if g.Group == coordination.DomainGroup(op.Domain) && g.Leads {
+				return protocol.OKResult(g)
+			}
+		}
+	}
+	return s.fail(op, &protocol.Error{Code: protocol.CodeUnavailable, Message: "leadership is changing"})
+}
+
 func endpointList(in []*state.Endpoint) protocol.EndpointList {
 	out := protocol.EndpointList{Endpoints: make([]state.Endpoint, len(in))}
 	for i, e := range in {
--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -101,6 +101,8 @@
 		"POST " + protocol.PathReports:                                            s.as(endpoint, s.simple(protocol.OpReport, "")),
 		"POST " + protocol.PathEndpoint + "{name}/drain":                          s.as(operator, s.drainEndpoint),
 		"POST " + protocol.PathEndpoint + "{name}" + protocol.PathHeartbeatSuffix: s.as(endpoint, s.simple(protocol.OpHeartbeat, "name")),
+		"GET /{$}":     s.browser(s.as(operator, s.page)),
+		"GET /status":  s.browser(s.as(operator, s.page)),
 		"GET /healthz": s.healthz,
 		"GET /readyz":  s.readyz,
 	} {
--- /dev/null
+++ b/transport/statuspage/page.go
@@ -0,0 +1,87 @@
+// Package statuspage renders the status of the cell as one HTML page without
+// scripts, images or other files.
+package statuspage
+
+import (
+	"bytes"
+	_ "embed"
+	"html/template"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// Page is the content of the page.
+type Page struct {
+	Now         time.Time
+	Process     protocol.ProcessStatus // that answers
+	Domains     []protocol.GroupStatus // each as its leader sees it
+	Unreachable []string               // failure domains without an answer
+}
+
+//go:embed page.html
+var source string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"domain": func(group string) string { return strings.TrimPrefix(group, coordination.DomainGroup("")) },
+	"voters": voters,
+}).Parse(source))
+
+// Render returns the page as HTML.
+func Render(p Page) ([]byte, error) {
+	var b bytes.Buffer
+	if err := page.Execute(&b, p); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// Groups returns all groups: those of the domains as their leaders see them, and
+// whatever else the process hosts.
+func (p Page) Groups() []protocol.GroupStatus {
+	out := slices.Clone(p.Domains)
+	for _, g := range p.Process.Groups {
+		if !slices.ContainsFunc(out, func(o protocol.GroupStatus) bool { return o.Group == g.Group }) {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// Statuses lists the columns of the endpoint table.
+func (p Page) Statuses() []state.EndpointStatus {
+	return []state.EndpointStatus{
+		state.EndpointReady, state.EndpointSuspect, state.EndpointLost, state.EndpointLeaving,
+		state.EndpointFlapping, state.EndpointQuarantined,
+	}
+}
+
+// Classes lists the classes in the order in which they are served.
+func (p Page) Classes() []state.Class { return state.Classes }
+
+// Since returns how long ago a time was, and the time.
+func (p Page) Since(ms int64) string {
+	t := time.UnixMilli(ms)
+	return p.Now.Sub(t).Round(time.Second).String() + " (" + t.UTC().Format("15:04:05Z") + ")"
+}
+
+// Contact returns how long ago the process heard from the cell group.
+func (p Page) Contact() time.Duration {
+	return (time.Duration(p.Process.CellContactMS) * time.Millisecond).Round(time.Second)
+}
+
+func voters(g protocol.GroupStatus) string {
+	var names []string
+	for _, m := range g.Members {
+		name := m.Name
+		if !m.Voter {
+			name += " (catching up)"
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ", ")
+}
