metrics: the five measures, limits, and names for the alarms

Cause: packing mixed units in one metric, "request_total_seconds" had the ending of a counter, every replica reported the endpoints of its domain (sums counted them up to three times), and refusals, missed deadlines, head-of-line blocking, voters, limits and the free space of the data directory were not measured.

Change: reserved and capacity by resource in base units, duration, accepted, refused and late requests by class, the age of the oldest waiting request, voters in contact, answers by route and status, the duration of control steps, what is used of each limit, free bytes.

Conclusion: the limits of the admission queues are not exported: they depend on the learned run times and are known to the admission controller only.

--- a/transport/control/loop.go
+++ b/transport/control/loop.go
@@ -25,6 +25,9 @@
 
 // Loop connects the control goroutine to the goroutines that carry traffic.
 type Loop struct {
+	// Stepped, if set, is told how long each step took. It is set before Run.
+	Stepped func(time.Duration)
+
 	events chan coordination.Event
 	start  time.Time
 	tokens atomic.Uint64
@@ -44,6 +47,9 @@
 	}
 }
 
+// Waiting returns the number of events that wait, and their bound.
+func (l *Loop) Waiting() (n, most int) { return len(l.events), cap(l.events) }
+
 // Clock returns the time of a step that begins now.
 func (l *Loop) Clock() scheduling.Clock {
 	now := time.Now()
@@ -64,10 +70,15 @@
 		case <-timer.C:
 			ev = coordination.Tick{}
 		}
-		for _, e := range node.Step(l.Clock(), ev) {
+		began := l.Clock()
+		for _, e := range node.Step(began, ev) {
 			l.execute(e, x)
 		}
-		timer.Reset(max(0, node.NextWake()-l.Clock().Now))
+		now := l.Clock().Now
+		if l.Stepped != nil {
+			l.Stepped(now - began.Now)
+		}
+		timer.Reset(max(0, node.NextWake()-now))
 	}
 }
 
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -195,14 +195,15 @@
 func (p *process) serve(ctx context.Context, l *listeners) error {
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	p.metrics = metrics.New(p.loop)
 	p.peers = peer.NewClient(running, &http.Client{Transport: p.tls.transport()}, p.tls.scheme(), p.access.OwnPeerToken(), p.logger)
 	p.tasks = endpoint.NewClient(running, p.tls.transport(), p.tls.scheme(), p.loop, p.logger)
+	p.metrics = p.newMetrics(l)
+	p.loop.Stepped = p.metrics.Stepped
 	requestTimeout := time.Duration(p.settings.Limits.RequestTimeoutMS) * time.Millisecond
 	api := httpapi.New(httpapi.Config{
 		Name: p.settings.Name, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
 		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
-		Timeout: requestTimeout, Crowded: l.public.crowded,
+		Timeout: requestTimeout, Crowded: l.public.crowded, Answered: p.metrics.Answered,
 	})
 	public := p.newServer(api)
 	public.ReadTimeout, public.WriteTimeout = requestTimeout, requestTimeout+writeMargin
--- a/transport/daemon/limit.go
+++ b/transport/daemon/limit.go
@@ -18,6 +18,9 @@
 	once   sync.Once
 }
 
+// open returns the number of connections, and its bound.
+func (l *limited) open() (n, most int) { return len(l.slots), cap(l.slots) }
+
 // crowded reports whether at least three quarters of the connections are in use.
 // Connections should not be kept idle then: others could not connect, the balancer's
 // checks included.
--- /dev/null
+++ b/transport/daemon/measure.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"syscall"
+
+	"github.com/primrosereach/primrosereach/transport/metrics"
+)
+
+func (p *process) newMetrics(l *listeners) *metrics.Metrics {
+	cfg := metrics.Config{Loop: p.loop, Limits: []metrics.Limit{
+		limit("connections", l.public.open), limit("control_events", p.loop.Waiting), limit("endpoint_calls", p.tasks.Waiting),
+	}}
+	if dir := p.settings.DataDir; dir != "" {
+		cfg.FreeBytes = func() (uint64, error) { return freeBytes(dir) }
+	}
+	return metrics.New(cfg)
+}
+
+func limit(name string, read func() (n, most int)) metrics.Limit {
+	_, most := read()
+	return metrics.Limit{Name: name, Max: most, Used: func() int {
+		n, _ := read()
+		return n
+	}}
+}
+
+// freeBytes returns the space that is left to the process in a file system.
+func freeBytes(dir string) (uint64, error) {
+	var s syscall.Statfs_t
+	if err := syscall.Statfs(dir, &s); err != nil {
+		return 0, err
+	}
+	return s.Bavail * uint64(s.Bsize), nil
+}
--- a/transport/endpoint/client.go
+++ b/transport/endpoint/client.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// Waiting returns the number of calls that wait for a worker, and their bound.
+func (c *Client) Waiting() (n, most int) { return len(c.queue), cap(c.queue) }
+
 // Wait returns when all workers have ended.
 func (c *Client) Wait() { c.wg.Wait() }
 
--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -34,10 +34,11 @@
 	Loop        Loop
 	Forwarder   Forwarder
 	Access      *access.Access
-	MaxBody     int64         // bytes
-	Timeout     time.Duration // of one call, its wait included
-	Crowded     func() bool   // connections must not be kept; nil for never
-	Metrics     http.Handler  // nil for none
+	MaxBody     int64                          // bytes
+	Timeout     time.Duration                  // of one call, its wait included
+	Crowded     func() bool                    // connections must not be kept; nil for never
+	Answered    func(route string, status int) // called after each answer; nil for none
+	Metrics     http.Handler                   // nil for none
 }
 
 // Server implements the API.
@@ -82,7 +83,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
 	defer cancel()
-	s.mux.ServeHTTP(w, r.WithContext(ctx))
+	rec := &recorder{ResponseWriter: w, status: http.StatusOK}
+	r = r.WithContext(ctx)
+	s.mux.ServeHTTP(rec, r)
+	if s.Answered != nil {
+		s.Answered(r.Pattern, rec.status)
+	}
 }
 
 func (s *Server) routes() {
