--- a/transport/httpapi/server.go
+++ b/transport/httpapi/server.go
@@ -34,9 +34,11 @@
 	Loop        Loop
 	Forwarder   Forwarder
 	Access      *access.Access
-	MaxBody     int64         // bytes
-	Timeout     time.Duration // of one call, its wait included
-	Metrics     http.Handler  // nil for none
+	MaxBody     int64                          // bytes
+	Timeout     time.Duration                  // of one call, its wait included
+	Crowded     func() bool                    // connections must not be kept; nil for never
+	Answered    func(route string, status int) // called after each answer; nil for none
+	Metrics     http.Handler                   // nil for none
 }
 
 // Server implements the API.
@@ -76,12 +78,17 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if s.draining.Load() || s.Crowded != nil && s.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
 	defer cancel()
-	s.mux.ServeHTTP(w, r.WithContext(ctx))
+	rec := &recorder{ResponseWriter: w, status: http.StatusOK}
+	r = r.WithContext(ctx)
+	s.mux.ServeHTTP(rec, r)
+	if s.Answered != nil {
+		s.Answered(r.Pattern, rec.status)
+	}
 }
 
 func (s *Server) routes() {
@@ -100,6 +107,8 @@
 		"POST " + protocol.PathReports:                                            s.as(endpoint, s.simple(protocol.OpReport, "")),
 		"POST " + protocol.PathEndpoint + "{name}/drain":                          s.as(operator, s.drainEndpoint),
 		"POST " + protocol.PathEndpoint + "{name}" + protocol.PathHeartbeatSuffix: s.as(endpoint, s.simple(protocol.OpHeartbeat, "name")),
+		"GET /{$}":     s.browser(s.as(operator, s.page)),
+		"GET /status":  s.browser(s.as(operator, s.page)),
 		"GET /healthz": s.healthz,
 		"GET /readyz":  s.readyz,
 	} {
