--- /dev/null
+++ b/coordination/inspect.go
@@ -0,0 +1,35 @@
+package coordination
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state"
+)
+
+// View is what a process knows of one group. The states must not be changed.
+type View struct {
+	Group      string
+	DomainName string        // "" for the cell group
+	Domain     *state.Domain // nil for the cell group
+	Cell       *state.Cell   // nil for a domain group
+	Leads      bool          // leads, has applied all earlier entries and holds the leader lease
+	Term       uint64
+	Membership state.Membership
+}
+
+// Views returns the view of each hosted group at a time, for checks of invariants.
+// Like Step it may be called only by the goroutine that owns the node.
+func (n *Node) Views(now time.Duration) []View {
+	views := make([]View, 0, len(n.hosted))
+	for _, r := range n.hosted {
+		_, term := r.raft.Leader()
+		views = append(views, View{
+			Group: r.group, DomainName: r.domainName, Domain: r.domain, Cell: r.cell,
+			Leads: r.lead != nil && r.raft.HasLease(now), Term: term, Membership: r.raft.Membership(),
+		})
+	}
+	return views
+}
+
+// Ready reports whether callers should be sent to this process.
+func (n *Node) Ready() bool { return n.ready() }
