scheduling: place work whose preferred endpoints do not exist

Cause: a task that had failed on every runner of its domain, or whose only ready endpoints were too slow for its due time, was never placed; its group of the queue stayed blocked behind it. Ruled out: lost start, lost report (the record is queued on every replica). Change: the filter is ignored if it leaves out every ready endpoint of the size. Conclusion: the preference for other endpoints no longer stops work.

--- a/coordination/coordinationtest/caller.go
+++ b/coordination/coordinationtest/caller.go
@@ -21,6 +21,7 @@
 	Outcome    state.Outcome
 	Done       bool // the caller knows a final outcome
 	SentAt     time.Duration
+	AcceptedAt time.Duration
 	DoneAt     time.Duration
 	starts     map[int]int // executions started, by task
 	running    map[int]int // executions under way, by task
@@ -132,14 +133,15 @@
 	build := func(t coordination.Token, age time.Duration) coordination.Event {
 		return coordination.Submit{Token: t, Key: r.Key, Submission: r.Submission, Age: age}
 	}
-	c.w.callThrough(c.site, c.entry(), true, build, func(a coordination.Answer) { c.submitted(r, a) })
+	sent := c.w.Now
+	c.w.callThrough(c.site, c.entry(), true, build, func(a coordination.Answer) { c.submitted(r, a, sent) })
 }
 
-func (c *Caller) submitted(r *Request, a coordination.Answer) {
+func (c *Caller) submitted(r *Request, a coordination.Answer, sent time.Duration) {
 	first := !r.Accepted
-	c.w.Checks.answered(r, a)
+	c.w.Checks.answered(r, a, sent)
 	if a.Code == coordination.CodeOK && first {
-		r.Accepted = true
+		r.Accepted, r.AcceptedAt = true, c.w.Now
 		c.follow(r)
 	}
 }
@@ -153,7 +155,7 @@
 	build := func(t coordination.Token, _ time.Duration) coordination.Event {
 		return coordination.Lookup{Token: t, Key: r.Key, Wait: wait}
 	}
-	open := true
+	open, sent := true, c.w.Now
 	next := func(after time.Duration) {
 		if open {
 			open = false
@@ -161,7 +163,7 @@
 		}
 	}
 	c.w.callThrough(c.site, c.entry(), !wait, build, func(a coordination.Answer) {
-		c.w.Checks.answered(r, a)
+		c.w.Checks.answered(r, a, sent)
 		next(500 * time.Millisecond)
 	})
 	c.w.After(5*time.Second, func() { next(0) })
@@ -173,10 +175,10 @@
 	build := func(t coordination.Token, _ time.Duration) coordination.Event {
 		return coordination.CancelRequest{Token: t, Key: r.Key, Actor: c.site.name}
 	}
-	open := true
+	open, sent := true, c.w.Now
 	c.w.callThrough(c.site, c.entry(), true, build, func(a coordination.Answer) {
 		open = open && a.Code == coordination.CodeUnavailable
-		c.w.Checks.answered(r, a)
+		c.w.Checks.answered(r, a, sent)
 	})
 	c.w.After(6*time.Second, func() {
 		if open && !r.Done && !r.NotRun {
--- a/coordination/coordinationtest/checks.go
+++ b/coordination/coordinationtest/checks.go
@@ -175,13 +175,16 @@
 	}
 }
 
-// answered checks what a caller is told: G3 and G4.
-func (c *Checks) answered(r *Request, a coordination.Answer) {
+// answered checks what a caller is told in answer to a call that it sent at a time:
+// G3 and G4. Answers may overtake each other, so only a call that was sent after an
+// answer had arrived must agree with it.
+func (c *Checks) answered(r *Request, a coordination.Answer, sent time.Duration) {
+	accepted := r.Accepted && sent >= r.AcceptedAt
 	c.Note("answer %s: %s %s", r.Key.ID, a.Code, a.Message)
 	switch a.Code {
 	case coordination.CodeOK:
 		if a.Record != nil {
-			c.told(r, a.Record)
+			c.told(r, a.Record, sent)
 		}
 	case coordination.CodeRefused:
 		if r.Accepted {
@@ -189,7 +192,7 @@
 		}
 		c.toldNotRun(r, a.Message)
 	case coordination.CodeNotFound, coordination.CodeTooOld:
-		if r.Accepted {
+		if accepted {
 			c.fail("G3", "accepted request %s is answered %s", r.Key.ID, a.Code)
 		}
 	case coordination.CodeInvalid, coordination.CodeConflict:
@@ -197,18 +200,21 @@
 	}
 }
 
-func (c *Checks) told(r *Request, rec *state.Record) {
+func (c *Checks) told(r *Request, rec *state.Record, sent time.Duration) {
 	if rec.Key != r.Key {
 		c.fail("G3", "the caller of %s got the answer to %s", r.Key.ID, rec.ID)
 		return
 	}
 	if !rec.Final() {
-		if r.Done {
+		if r.Done && sent >= r.DoneAt {
 			c.fail("G3", "request %s is open again after %s", r.Key.ID, r.Outcome)
 		}
 		return
 	}
 	outcome := rec.Outcome()
+	if r.Done && outcome == state.OutcomeUnknown && sent < r.DoneAt {
+		return
+	}
 	if r.Done && outcome != r.Outcome && r.Outcome != state.OutcomeUnknown {
 		c.fail("G3", "request %s was %s and is %s", r.Key.ID, r.Outcome, outcome)
 	}
--- a/coordination/coordinationtest/settle.go
+++ b/coordination/coordinationtest/settle.go
@@ -163,9 +163,10 @@
 	build := func(t coordination.Token, _ time.Duration) coordination.Event {
 		return coordination.Lookup{Token: t, Key: r.Key}
 	}
+	sent := w.Now
 	w.callThrough(from, p, true, build, func(a coordination.Answer) {
 		known := r.Accepted || r.Outcome != ""
-		w.Checks.answered(r, a)
+		w.Checks.answered(r, a, sent)
 		if a.Code == coordination.CodeOK || !known && (a.Code == coordination.CodeRefused || a.Code == coordination.CodeNotFound) {
 			done()
 		}
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -130,6 +130,9 @@
 			continue
 		}
 		n := p.find(b.clock, j, it)
+		if n == nil {
+			n = s.lastResort(b.clock, j, it)
+		}
 		if n == nil {
 			q.Block(l.Group(), p.reason)
 			s.tries--
@@ -211,6 +214,21 @@
 	return f.nowMS+run <= f.dueMS && f.avoids.Allows(n)
 }
 
+// lastResort looks for a node without regard to earlier failures and to the due time
+// if these leave out every ready endpoint that is large enough. Otherwise the task,
+// and all that is queued behind it, would wait for ever.
+func (s *planner) lastResort(c Clock, j *job, it *queue.Item) *placement.Node {
+	p, f := s.poolOf(j.rec.Class), s.timely(c, j, it)
+	usable := false
+	p.Nodes(func(n *placement.Node) {
+		usable = usable || n.Ready() && j.rec.PerTask.FitsIn(n.Endpoint.Capacity) && f.Allows(n)
+	})
+	if usable {
+		return nil
+	}
+	return p.MostFree(j.rec.PerTask, fastFirst, avoids(nil))
+}
+
 // NextWake implements Scheduler.
 func (s *planner) NextWake() time.Duration {
 	if s.more {
