coordination: keep "not run" true at the end of the block of a refused ID

Cause: a resend or lookup was answered "refused" up to the last moment of the 60 s block (a lookup even after it), while an entry process may hold a copy for 30 s more; that copy was then accepted. A cancel that raced with the acceptance was answered OK without cancelling anything. Found by reading; histories do not last beyond one block. Change: an answer in the second half of the block renews it by a log entry first; a lookup after the block says not found; a raced cancel is tried again.

--- a/coordination/requests.go
+++ b/coordination/requests.go
@@ -104,7 +104,7 @@
 		return
 	}
 	if f, ok := r.domain.Refused(e.Key); ok && n.clock.WallMS < f.AtMS+state.RefusalHoldMS {
-		n.reply(e.Token, Answer{Code: CodeRefused, Message: f.Reason, RetryAfterMS: f.RetryAfterMS})
+		n.refuseAgain(r, e.Token, f)
 		return
 	}
 	switch {
@@ -140,7 +140,8 @@
 	}
 	v := r.lead.sched.Admit(n.clock, req)
 	if !v.Admit {
-		n.refuse(r, e.Token, state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: v.Reason, RetryAfterMS: v.RetryAfterMS})
+		f := state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: v.Reason, RetryAfterMS: v.RetryAfterMS}
+		n.refuse(r, e.Token, f, func(rec *state.Record) { n.answerResend(e, rec) })
 		return
 	}
 	ok := n.propose(r, state.Command{Accept: &state.Accept{Request: *req}}, func(a state.Applied, committed bool) {
@@ -169,14 +170,15 @@
 }
 
 // refuse blocks the ID before the caller hears "not run": a copy of the same
-// submission may still be on its way.
-func (n *Node) refuse(r *replica, t Token, f state.Refuse) {
+// submission may still be on its way. exists is called if the request was accepted
+// meanwhile.
+func (n *Node) refuse(r *replica, t Token, f state.Refuse, exists func(*state.Record)) {
 	ok := n.propose(r, state.Command{Refuse: &f}, func(a state.Applied, committed bool) {
 		switch {
 		case !committed:
 			n.reply(t, unavailable("leadership of "+r.group+" changed"))
 		case a.Rejected != nil:
-			n.reply(t, Answer{Code: CodeOK, Record: a.Records[0]})
+			exists(a.Records[0])
 		default:
 			n.emit(Measure{Metric: MetricRefused, MS: 1})
 			n.reply(t, Answer{Code: CodeRefused, Message: f.Reason, RetryAfterMS: f.RetryAfterMS})
@@ -187,6 +189,18 @@
 	}
 }
 
+// refuseAgain answers a call for an ID that is blocked. Entry processes may hold a
+// copy of the submission that is as old as maxSubmissionAge, so the answer must be
+// followed by as long a block; otherwise the block is renewed first.
+func (n *Node) refuseAgain(r *replica, t Token, f state.Refuse) {
+	if n.clock.WallMS < f.AtMS+state.RefusalHoldMS-maxSubmissionAge.Milliseconds() {
+		n.reply(t, Answer{Code: CodeRefused, Message: f.Reason, RetryAfterMS: f.RetryAfterMS})
+		return
+	}
+	f.AtMS = n.clock.WallMS
+	n.refuse(r, t, f, func(rec *state.Record) { n.reply(t, Answer{Code: CodeOK, Record: rec}) })
+}
+
 // newRequest fills in the defaults of the kind.
 func (n *Node) newRequest(cfg state.Configuration, e Submit) (*state.Request, error) {
 	s := &e.Submission
@@ -251,9 +265,12 @@
 		return
 	}
 	rec := r.domain.Record(e.Key)
+	f, refused := r.domain.Refused(e.Key)
 	switch {
+	case rec == nil && refused && n.clock.WallMS < f.AtMS+state.RefusalHoldMS:
+		n.refuseAgain(r, e.Token, f)
 	case rec == nil:
-		n.reply(e.Token, n.absent(r, e.Key, issued))
+		n.reply(e.Token, absent(r, e.Key, issued))
 	case rec.Final() || !e.Wait:
 		a := Answer{Code: CodeOK, Record: rec}
 		if rec.Outcome() == state.OutcomeWaiting {
@@ -267,10 +284,7 @@
 }
 
 // absent answers a lookup of a request that is not in the table of its home.
-func (n *Node) absent(r *replica, k state.Key, issued int64) Answer {
-	if f, ok := r.domain.Refused(k); ok {
-		return Answer{Code: CodeRefused, Message: f.Reason, RetryAfterMS: f.RetryAfterMS}
-	}
+func absent(r *replica, k state.Key, issued int64) Answer {
 	if issued < r.domain.HorizonS() {
 		return Answer{Code: CodeTooOld, Message: "the outcome is no longer known"}
 	}
@@ -302,10 +316,11 @@
 	}
 	if r.domain.Record(e.Key) == nil {
 		if issued < r.domain.HorizonS() {
-			n.reply(e.Token, n.absent(r, e.Key, issued))
+			n.reply(e.Token, absent(r, e.Key, issued))
 			return
 		}
-		n.refuse(r, e.Token, state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: "cancelled before it was accepted"})
+		f := state.Refuse{Key: e.Key, AtMS: n.clock.WallMS, Reason: "cancelled before it was accepted"}
+		n.refuse(r, e.Token, f, func(*state.Record) { n.cancel(e) })
 		return
 	}
 	ok := n.propose(r, state.Command{Cancel: &state.Cancel{Key: e.Key, AtMS: n.clock.WallMS, Actor: e.Actor}}, func(a state.Applied, committed bool) {
--- a/state/apply.go
+++ b/state/apply.go
@@ -84,7 +84,7 @@
 		}
 		d.refusals = d.refusals[1:]
 	}
-	if old, ok := d.refused[c.Key]; ok && c.AtMS < old.AtMS+RefusalHoldMS {
+	if old, ok := d.refused[c.Key]; ok && c.AtMS <= old.AtMS {
 		return Applied{}
 	}
 	d.refused[c.Key] = *c
