coordination: give up leadership when the storage fails

Cause: after StorageFailed the node stopped its leader work, but its replicas stayed leaders of their groups and sent heartbeats, so no successor was elected. Change: StepDown on every hosted group; without synced votes it is not elected again. Before: the group answers unavailable until the process is restarted.

--- a/coordination/node.go
+++ b/coordination/node.go
@@ -113,6 +113,9 @@
 		}
 	case StorageFailed:
 		n.failed = e.Err
+		for _, r := range n.hosted {
+			r.raft.StepDown(n.clock.Now) // without storage it cannot be elected again
+		}
 		n.log("error", e.Step, "", "storage failed, this process acknowledges nothing more: "+e.Err.Error())
 	case Submit:
 		n.submit(e)
