coordination, state: mend starts, leases and drains that failures upset

Causes, found with coordinationtest TestProbe histories of mixed faults and by reading, each with its change: - A delayed heartbeat of an earlier incarnation announced it again and ended the present one's leases while its tasks ran. Former incarnations are rejected. - A heartbeat answered while the loss of its endpoint was being committed renewed the lease, and a late start ran beside the requeued task. No lease meanwhile. - A held unrepeatable task kept the low watermark below later repeatable tasks, so that their late starts ran after they were requeued. Ruled out: consensus; replicas at one index were equal in every history.

--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -19,8 +19,16 @@
 	// leaseMargin covers clock drift and the time that an endpoint needs to stop its
 	// tasks. Work is queued again only after lease and margin.
 	leaseMargin = time.Second
-	// startRetry is the delay before an unanswered start is sent again.
+	// startRetry is the delay before a start is sent again to an endpoint that could
+	// not be reached.
 	startRetry = 500 * time.Millisecond
+	// declinedDelay is the delay before a task is assigned again that its endpoint has
+	// not run. An endpoint without a lease declines at once, for up to 6 s.
+	declinedDelay = 250 * time.Millisecond
+	// startTimeout is the delay before a start or stop without any answer is sent
+	// again: the transport drops calls when its queue is full. It is above the limit
+	// of one call, 2 s.
+	startTimeout = 5 * time.Second
 	// removeAfter is how long a lost endpoint is remembered, in milliseconds.
 	removeAfterMS = int64(retention / time.Millisecond)
 )
@@ -65,14 +73,39 @@
 	}
 }
 
-// renewLease answers a heartbeat. The answer is a lease, so it is given only by a
-// leader that still has its own.
+// renewLease answers a heartbeat. An endpoint that leaves is answered when that is
+// committed, so that a successor of this leader gives it no new work either.
 func (n *Node) renewLease(r *replica, e Heartbeat, known *state.Endpoint) {
+	if e.Endpoint.Status == state.EndpointLeaving && !known.Leaves {
+		ok := n.setEndpointStatus(r, known, state.EndpointLeaving, func(committed bool) {
+			if !committed {
+				n.reply(e.Token, unavailable("the change to leaving was not committed"))
+				return
+			}
+			n.grantLease(r, e, known)
+		})
+		if !ok {
+			n.reply(e.Token, unavailable("the log of "+r.group+" takes no entries now"))
+		}
+		return
+	}
+	n.grantLease(r, e, known)
+}
+
+// grantLease is called only by a leader that still has its own lease. It grants none
+// while the loss of the endpoint is being committed: a start that is under way could
+// otherwise run although its task is about to be queued again.
+func (n *Node) grantLease(r *replica, e Heartbeat, known *state.Endpoint) {
 	if r.lead == nil || !r.raft.HasLease(n.clock.Now) {
 		n.reply(e.Token, unavailable("the leader of "+r.group+" has no contact to a majority"))
 		return
 	}
+	if r.lead.losing[known.Name] {
+		n.reply(e.Token, unavailable("the end of the previous lease is being committed"))
+		return
+	}
 	r.lead.contact[known.Name] = n.clock.Now
+	n.settleHeld(r, e, known)
 	n.reconcileStatus(r, e, known)
 	answer := Lease{
 		Term: r.lead.term, LeaseMS: taskLease.Milliseconds(), IntervalMS: heartbeatInterval.Milliseconds(),
@@ -82,15 +115,31 @@
 	n.reply(e.Token, Answer{Code: CodeOK, Lease: &answer})
 }
 
-// reconcileStatus follows what the endpoint says of itself. A drain by an operator
-// stays in force until the endpoint restarts.
+// reconcileStatus takes back a silent endpoint. One that leaves or was drained is
+// leaving again; the state sees to that.
 func (n *Node) reconcileStatus(r *replica, e Heartbeat, known *state.Endpoint) {
-	switch {
-	case e.Endpoint.Status == state.EndpointLeaving && known.Status != state.EndpointLeaving:
-		n.setEndpointStatus(r, known, state.EndpointLeaving, "")
-	case e.Endpoint.Status == state.EndpointReady && (known.Status == state.EndpointSuspect || known.Status == state.EndpointLost):
-		n.setEndpointStatus(r, known, state.EndpointReady, "")
+	if known.Status == state.EndpointSuspect || known.Status == state.EndpointLost {
+		n.setEndpointStatus(r, known, e.Endpoint.Status, nil)
+	}
+}
+
+// settleHeld asks a returned endpoint about the unknown tasks that it does not list:
+// their starts may never have reached it, and nothing would release their capacity.
+// The start is sent again. The low watermark of the first heartbeat answer after the
+// return is above it, so the endpoint declines it unless it has run it.
+func (n *Node) settleHeld(r *replica, e Heartbeat, known *state.Endpoint) {
+	if known.Status == state.EndpointLost || known.Assigned == 0 {
+		return
 	}
+	listed := make(map[uint64]bool, len(e.Running))
+	for i := range e.Running {
+		listed[e.Running[i].Seq] = true
+	}
+	r.domain.AssignedTo(known.Name, func(seq uint64, ref state.TaskRef) {
+		if rec := r.domain.Record(ref.Key); rec.State[ref.Task].Held && !listed[seq] {
+			n.emit(n.startOf(r, rec, ref.Task, known))
+		}
+	})
 }
 
 // staleAttempts lists what an endpoint holds although the state does not, or
@@ -112,28 +161,46 @@
 	return out
 }
 
-// lowWatermark returns the highest sequence number up to which every assignment of
-// the endpoint is settled. The endpoint forgets those and rejects late copies of
-// their starts.
+// lowWatermark returns the highest sequence number up to which no start is wanted any
+// more. The endpoint forgets the settled ones and rejects late copies of their starts.
+// Held tasks do not lower it: they are never started again, and the starts of
+// repeatable work after them, which was queued again, must be rejected.
 func lowWatermark(d *state.Domain, e *state.Endpoint) uint64 {
 	low := e.LastSeq
-	d.AssignedTo(e.Name, func(seq uint64, _ state.TaskRef) {
-		low = min(low, seq-1)
+	d.AssignedTo(e.Name, func(seq uint64, ref state.TaskRef) {
+		if !d.Record(ref.Key).State[ref.Task].Held {
+			low = min(low, seq-1)
+		}
 	})
 	return low
 }
 
-func (n *Node) setEndpointStatus(r *replica, e *state.Endpoint, s state.EndpointStatus, actor string) {
+// setEndpointStatus proposes a status. done may be nil; it is not called if the
+// result is false.
+func (n *Node) setEndpointStatus(r *replica, e *state.Endpoint, s state.EndpointStatus, done func(committed bool)) bool {
 	cmd := state.Command{EndpointStatus: &state.SetEndpointStatus{
-		AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation, Status: s, Actor: actor,
+		AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation, Status: s,
 	}}
-	n.propose(r, cmd, func(a state.Applied, committed bool) {
-		if committed && a.Rejected == nil {
-			n.log("info", "endpoint status", e.Name, "endpoint is now "+string(s))
+	return n.propose(r, cmd, func(a state.Applied, committed bool) {
+		ok := committed && a.Rejected == nil
+		if ok {
+			n.log("info", "endpoint status", e.Name, "endpoint is now "+string(a.Endpoint.Status))
+		}
+		if done != nil {
+			done(ok)
 		}
 	})
 }
 
+// loseEndpoint ends the leases of a silent endpoint.
+func (n *Node) loseEndpoint(r *replica, e *state.Endpoint) {
+	l := r.lead
+	if l.losing[e.Name] {
+		return
+	}
+	l.losing[e.Name] = n.setEndpointStatus(r, e, state.EndpointLost, func(bool) { delete(l.losing, e.Name) })
+}
+
 // sweepEndpoints finds silent endpoints and acts on evidence of bad ones.
 func (n *Node) sweepEndpoints(r *replica) {
 	l := r.lead
@@ -149,9 +216,9 @@
 				n.propose(r, state.Command{EndpointRemoved: &state.RemoveEndpoint{AtMS: n.clock.WallMS, Name: e.Name, Incarnation: e.Incarnation}}, nil)
 			}
 		case silent > taskLease+leaseMargin:
-			n.setEndpointStatus(r, e, state.EndpointLost, "")
+			n.loseEndpoint(r, e)
 		case silent > suspectAfter && e.Status != state.EndpointSuspect && e.Status != state.EndpointLeaving:
-			n.setEndpointStatus(r, e, state.EndpointSuspect, "")
+			n.setEndpointStatus(r, e, state.EndpointSuspect, nil)
 		}
 	}
 	for _, s := range l.sched.EndpointTransitions(n.clock) {
@@ -203,10 +270,11 @@
 			p.Requeue, p.EndpointBad, p.NotBeforeMS = advice.Requeue, advice.EndpointBad, advice.NotBeforeMS
 		case state.TaskNotRun, state.TaskCancelled:
 			p.Requeue = true // the state queues it again only if that is safe and nobody cancelled it
+			p.NotBeforeMS = n.clock.WallMS + declinedDelay.Milliseconds()
 		}
 	}
 	ok := n.propose(r, state.Command{Report: &p}, func(a state.Applied, committed bool) {
-		if r.lead != nil {
+		if r.lead != nil && committed {
 			delete(r.lead.starts, p.TaskRef)
 		}
 		done(committed)
@@ -224,18 +292,24 @@
 	if e == nil || e.Incarnation != t.Incarnation {
 		return
 	}
-	s := StartTask{
+	d := &dispatch{start: n.startOf(r, rec, task, e), next: n.clock.Now + startTimeout}
+	r.lead.starts[d.start.Ref] = d
+	n.emit(d.start)
+}
+
+func (n *Node) startOf(r *replica, rec *state.Record, task int, e *state.Endpoint) StartTask {
+	t := &rec.State[task]
+	return StartTask{
 		Group: r.group, Domain: r.domainName, Term: r.lead.term,
 		Ref:      state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
 		Endpoint: e.Name, Address: e.Address, Incarnation: e.Incarnation, Seq: t.Seq,
 		Kind: rec.Kind, Class: rec.Class, Repeatable: rec.Repeatable, PerTask: rec.PerTask, Payload: rec.Payload,
 	}
-	r.lead.starts[s.Ref] = &dispatch{start: s}
-	n.emit(s)
 }
 
-// resendStarts sends the starts whose endpoints could not be reached again, as
-// long as they are still wanted.
+// resendStarts sends the starts again that no endpoint has answered, as long as they
+// are still wanted, or the stops of those that were cancelled meanwhile: the endpoint
+// may know nothing of the attempt and then reports nothing without a stop.
 func (n *Node) resendStarts(r *replica) {
 	for ref, d := range r.lead.starts {
 		rec := r.domain.Record(ref.Key)
@@ -243,10 +317,14 @@
 			delete(r.lead.starts, ref)
 			continue
 		}
-		if d.next == 0 || n.clock.Now < d.next || rec.Cancel {
+		if n.clock.Now < d.next {
+			continue
+		}
+		d.next = n.clock.Now + startTimeout
+		if rec.Cancel {
+			n.stopTask(r, rec, ref.Task)
 			continue
 		}
-		d.next = 0
 		d.start.Try++
 		n.emit(d.start)
 	}
@@ -261,16 +339,34 @@
 	case StartAccepted:
 		delete(r.lead.starts, e.Start.Ref)
 	case StartUnreachable:
-		if d := r.lead.starts[e.Start.Ref]; d != nil {
-			d.next = n.clock.Now + startRetry
-		}
+		n.retryStart(r, e.Start.Ref)
 	case StartDeclined:
-		p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
+		n.startDeclined(r, e)
+	}
+}
+
+func (n *Node) retryStart(r *replica, ref state.TaskRef) {
+	if r.lead == nil {
+		return
+	}
+	if d := r.lead.starts[ref]; d != nil {
+		d.next = n.clock.Now + startRetry
+	}
+}
+
+// startDeclined ends an attempt that never runs. If the log takes no entry now, the
+// start is sent again to get the same answer.
+func (n *Node) startDeclined(r *replica, e StartAnswered) {
+	p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
+	if _, ok := currentTask(r.domain, &p); !ok {
 		delete(r.lead.starts, e.Start.Ref)
-		if _, ok := currentTask(r.domain, &p); ok {
-			n.endAttempt(r, p, func(bool) {})
-		}
+		return
 	}
+	n.endAttempt(r, p, func(committed bool) {
+		if !committed {
+			n.retryStart(r, e.Start.Ref)
+		}
+	})
 }
 
 // stopTask asks an endpoint to stop an attempt. Heartbeat answers repeat it until
@@ -287,6 +383,14 @@
 	})
 }
 
+// watchStop has a stop sent again until the attempt has ended.
+func (n *Node) watchStop(r *replica, rec *state.Record, task int) {
+	if e := r.domain.Endpoint(rec.State[task].Endpoint); e != nil {
+		s := n.startOf(r, rec, task, e)
+		r.lead.starts[s.Ref] = &dispatch{start: s, next: n.clock.Now + startTimeout}
+	}
+}
+
 func (n *Node) listEndpoints(e ListEndpoints) {
 	r := n.owner(DomainGroup(e.Domain), e.Token)
 	if r == nil {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -18,6 +18,11 @@
 	forgetBatch    = 1000
 )
 
+// outsideTerm is how long an outside member leads before it passes leadership back.
+// The member that it got it from may be stopping, which takes up to 30 s, and would
+// return it at once.
+const outsideTerm = 35 * time.Second
+
 // leadership is what a leader knows beyond the replicated state. It is rebuilt
 // when a term begins.
 type leadership struct {
@@ -27,6 +32,7 @@
 	starts     map[state.TaskRef]*dispatch
 	contact    map[string]time.Duration // last heartbeat answered, by endpoint
 	announcing map[string]uint64        // incarnation whose Announce is in the log, by endpoint
+	losing     map[string]bool          // endpoints whose loss is in the log
 	waiters    map[state.Key][]Token    // calls that wait for a final record
 	waitingFor map[Token]state.Key
 	adopting   bool
@@ -37,7 +43,7 @@
 // dispatch is a start that its endpoint has not acknowledged.
 type dispatch struct {
 	start StartTask
-	next  time.Duration // of the next try, 0 while one is under way
+	next  time.Duration // of the next try
 }
 
 func (l *leadership) nextWake() time.Duration {
@@ -70,7 +76,7 @@
 	l := &leadership{
 		term: term, since: n.clock.Now,
 		starts: map[state.TaskRef]*dispatch{}, contact: map[string]time.Duration{},
-		announcing: map[string]uint64{}, waiters: map[state.Key][]Token{}, waitingFor: map[Token]state.Key{},
+		announcing: map[string]uint64{}, losing: map[string]bool{}, waiters: map[state.Key][]Token{}, waitingFor: map[Token]state.Key{},
 		nextSweep: n.clock.Now + sweepInterval, nextForget: n.clock.Now + forgetInterval,
 	}
 	r.lead = l
@@ -97,6 +103,7 @@
 		if t := &rec.State[i]; t.Status == state.TaskAssigned {
 			if rec.Cancel {
 				n.stopTask(r, rec, i)
+				n.watchStop(r, rec, i)
 			} else {
 				n.dispatch(r, rec, i)
 			}
@@ -158,7 +165,8 @@
 
 // sweep does the periodic checks of a leader.
 func (n *Node) sweep(r *replica) {
-	if n.stopping || r.domainName != "" && r.domainName != n.self.Domain {
+	outside := r.domainName != "" && r.domainName != n.self.Domain
+	if n.stopping || outside && n.clock.Now-r.lead.since >= outsideTerm {
 		// An outside member leads only while no member of the domain can: endpoints and
 		// callers are closer to those.
 		n.passLeadership(r)
--- a/demo/standin/standin.go
+++ b/demo/standin/standin.go
@@ -156,7 +156,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if req.Incarnation != e.incarnation {
-		return protocol.StartResponse{Declined: true, Reason: "the endpoint has restarted"}
+		// The earlier incarnation may have run it, so this is no statement that it did not.
+		return protocol.StartResponse{Reason: "the endpoint has restarted"}
 	}
 	if a := e.attempts[req.Seq]; a != nil {
 		return protocol.StartResponse{Started: a.started, Declined: !a.started}
@@ -249,7 +250,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := e.attempts[ref.Seq]
-	if a == nil && ref.Seq > e.low {
+	unknown := a == nil && ref.Seq > e.low
+	if unknown || a != nil && !a.started && a.report == nil { // the answer that declined it may be lost
 		a = &attempt{ref: ref}
 		e.attempts[ref.Seq] = a
 		a.report = &protocol.ReportRequest{
--- a/state/apply_endpoint.go
+++ b/state/apply_endpoint.go
@@ -5,19 +5,32 @@
 	"slices"
 )
 
+// maxFormer bounds the earlier incarnations that are remembered of an endpoint. A
+// delayed heartbeat of one of them must not end the work of the present one.
+const maxFormer = 16
+
 func (d *Domain) announce(c *Announce) Applied {
 	e := c.Endpoint
 	e.Reserved, e.Assigned, e.LastSeq = Resources{}, 0, 0
-	e.Since = c.AtMS
+	e.Since, e.Leaves = c.AtMS, e.Status == EndpointLeaving
 	var a Applied
 	if old := d.endpoints[e.Name]; old != nil {
 		if old.Incarnation == e.Incarnation {
 			// Announced again, for example with a new address.
 			e.Reserved, e.Assigned, e.LastSeq = old.Reserved, old.Assigned, old.LastSeq
+			e.Leaves = e.Leaves || old.Leaves
+			if e.Leaves {
+				e.Status = EndpointLeaving
+			}
 			if e.Free().IsNegative() {
 				return Applied{Rejected: fmt.Errorf("endpoint %s announces less capacity than is reserved: %w", e.Name, ErrNoCapacity)}
 			}
 		} else {
+			former := d.former[e.Name]
+			if slices.Contains(former, e.Incarnation) {
+				return Applied{Rejected: fmt.Errorf("endpoint %s announces an incarnation that has ended: %w", e.Name, ErrStale)}
+			}
+			d.former[e.Name] = append(slices.Clone(former[max(0, len(former)+1-maxFormer):]), old.Incarnation)
 			a.Records = d.endLeases(e.Name, c.AtMS, true, "endpoint restarted")
 		}
 	}
@@ -81,6 +94,10 @@
 	}
 	e := *d.endpoints[c.Name]
 	e.Status, e.Since = c.Status, c.AtMS
+	e.Leaves = e.Leaves || c.Status == EndpointLeaving
+	if e.Leaves && c.Status != EndpointLost {
+		e.Status = EndpointLeaving // whatever else is found out about it
+	}
 	d.endpoints[c.Name] = &e
 	a.Endpoint = &e
 	if c.Actor != "" {
@@ -99,5 +116,6 @@
 	}
 	a := Applied{Records: d.endLeases(c.Name, c.AtMS, true, "endpoint removed")}
 	delete(d.endpoints, c.Name)
+	delete(d.former, c.Name)
 	return a
 }
--- a/state/records.go
+++ b/state/records.go
@@ -253,10 +253,11 @@
 	Capacity    Resources      `json:"capacity"`
 	Rack        string         `json:"rack,omitempty"`
 	Status      EndpointStatus `json:"status"`
-	Since       int64          `json:"since_ms"` // of the status, Unix milliseconds
-	Reserved    Resources      `json:"reserved"` // sum over the assigned tasks
-	Assigned    int            `json:"assigned"` // number of assigned tasks
-	LastSeq     uint64         `json:"last_seq"` // of the latest assignment
+	Since       int64          `json:"since_ms"`         // of the status, Unix milliseconds
+	Reserved    Resources      `json:"reserved"`         // sum over the assigned tasks
+	Assigned    int            `json:"assigned"`         // number of assigned tasks
+	LastSeq     uint64         `json:"last_seq"`         // of the latest assignment
+	Leaves      bool           `json:"leaves,omitempty"` // has asked to leave or was drained; until it restarts
 }
 
 // Free returns the unreserved capacity.
