scheduling: end work that only quarantined or straggling endpoints could run

Change: a due quarantined endpoint is released if it is the only hope and no waiting work suits a trial; a gang takes stragglers after 60 s; the blameless attempts are bounded. Conclusion: a quarantine that outlives a suspect period is still forgotten; open.

--- a/coordination/scheduling/defaults.go
+++ b/coordination/scheduling/defaults.go
@@ -97,16 +97,23 @@
 // fixedDelay is the default RetryPolicy.
 type fixedDelay struct{}
 
+// badEndpointTries is the number of further attempts of work that failed only on bad
+// endpoints. Without a bound, work that always fails would keep the endpoints of a
+// small domain in quarantine and never end.
+const badEndpointTries = 2
+
 // retryDelayMS lets an endpoint that has just failed recover or be quarantined.
 const retryDelayMS = 1000
 
 func (fixedDelay) Advise(c Clock, o Observation, endpointBad bool) FailureAdvice {
-	a := FailureAdvice{EndpointBad: endpointBad}
+	var a FailureAdvice
 	switch {
 	case o.Status == state.TaskNotRun:
 		a.Requeue = true
 	case o.Status == state.TaskFailed && o.Record.Repeatable:
-		a.Requeue = endpointBad || o.Record.State[o.Task].Failures < o.Record.Retries
+		t := &o.Record.State[o.Task]
+		a.EndpointBad = endpointBad && t.Failures == 0 && t.Attempt-t.Declined <= o.Record.Retries+badEndpointTries
+		a.Requeue = a.EndpointBad || t.Failures < o.Record.Retries
 	}
 	if a.Requeue {
 		a.NotBeforeMS = c.WallMS + retryDelayMS
--- a/coordination/scheduling/gang.go
+++ b/coordination/scheduling/gang.go
@@ -251,9 +251,13 @@
 	if !need.Scale(n).FitsIn(s.workers.Available()) {
 		return nil
 	}
+	tiers := gangTiers
+	if s.clock.WallMS-j.rec.AcceptedMS > gangStragglerMS {
+		tiers = fastFirst
+	}
 	nodes := make([]*placement.Node, 0, n)
 	for len(nodes) < n {
-		node := s.workers.BestFit(need, gangTiers, avoids(nil), placement.TightFit{})
+		node := s.workers.BestFit(need, tiers, avoids(nil), placement.TightFit{})
 		if node == nil {
 			break
 		}
@@ -269,6 +273,10 @@
 	return nodes
 }
 
+// gangStragglerMS is how long a gang waits for workers that are no stragglers. In a
+// domain that has too few of them it would otherwise never start.
+const gangStragglerMS = 60_000
+
 // gangTiers leaves out stragglers: a gang is as slow as its slowest task.
 var gangTiers = []placement.Tier{placement.TierFast, placement.TierNormal, placement.TierSlow}
 
--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -40,6 +40,7 @@
 	lenders  []parkedLane // lanes that wait for idle quota of other teams
 	lenient  bool         // idle quota has grown since lenders were woken
 	trials   *queue.Timeline[string]
+	released []string // quarantined endpoints to make ready
 	started  bool
 	bornAt   time.Duration
 	clock    Clock // of the latest call that carried one
@@ -264,7 +265,12 @@
 func (s *planner) EndpointTransitions(c Clock) []*state.SetEndpointStatus {
 	s.start(c)
 	var out []*state.SetEndpointStatus
-	for _, t := range s.opt.Health.Transitions(c) {
+	changes := s.opt.Health.Transitions(c)
+	for _, name := range s.released {
+		changes = append(changes, Transition{name, state.EndpointReady})
+	}
+	s.released = s.released[:0]
+	for _, t := range changes {
 		n := s.runners.Node(t.Endpoint)
 		if n == nil {
 			n = s.workers.Node(t.Endpoint)
--- a/coordination/scheduling/trials.go
+++ b/coordination/scheduling/trials.go
@@ -43,7 +43,11 @@
 		if n == nil || n.Endpoint.Status != state.EndpointQuarantined {
 			continue
 		}
-		if n.Endpoint.Assigned > 0 || n.Pending != (state.Resources{}) || !s.tryTrial(b, p, n, bands) {
+		idle := n.Endpoint.Assigned == 0 && n.Pending == (state.Resources{})
+		if !idle || !s.tryTrial(b, p, n, bands) {
+			if idle && s.onlyHope(p) {
+				s.released = append(s.released, name)
+			}
 			s.trials.Set(name, b.clock.WallMS+trialRepeatMS)
 			continue
 		}
@@ -52,6 +56,20 @@
 	}
 }
 
+// onlyHope reports whether work waits for a pool that has no ready endpoint. If none
+// of that work suits a trial, such as a gang or unrepeatable work, a quarantined
+// endpoint whose trial is due is released: the work would otherwise wait for ever.
+func (s *planner) onlyHope(p *placement.Pool) bool {
+	ready, waiting := false, 0
+	p.Nodes(func(n *placement.Node) { ready = ready || n.Ready() })
+	for b, q := range s.queues {
+		if (band(b) < bandService) == (p == s.runners) {
+			waiting += q.Len()
+		}
+	}
+	return !ready && waiting > 0
+}
+
 func (s *planner) tryTrial(b *batch, p *placement.Pool, n *placement.Node, bands []band) bool {
 	for _, bd := range bands {
 		var lane *queue.Lane
