--- a/coordination/coordinationtest/checks.go
+++ b/coordination/coordinationtest/checks.go
@@ -77,7 +77,7 @@
 }
 
 // trailLength bounds the events kept for the report of a violation.
-const trailLength = 400
+const trailLength = 4000
 
 // Note keeps an event for the report of a violation.
 func (c *Checks) Note(format string, args ...any) {
@@ -180,7 +180,9 @@
 // answer had arrived must agree with it.
 func (c *Checks) answered(r *Request, a coordination.Answer, sent time.Duration) {
 	accepted := r.Accepted && sent >= r.AcceptedAt
-	c.Note("answer %s: %s %s", r.Key.ID, a.Code, a.Message)
+	if a.Code != coordination.CodeOK && a.Code != coordination.CodeUnavailable {
+		c.Note("answer to %s: %s %s", r.Key.ID, a.Code, a.Message)
+	}
 	switch a.Code {
 	case coordination.CodeOK:
 		if a.Record != nil {
@@ -220,6 +222,7 @@
 	}
 	if !r.Done {
 		r.DoneAt = c.w.Now
+		c.Note("answer to %s: %s", r.Key.ID, outcome)
 	}
 	r.Done, r.Outcome = true, outcome
 	switch outcome {
--- a/coordination/coordinationtest/disk.go
+++ b/coordination/coordinationtest/disk.go
@@ -1,9 +1,11 @@
 package coordinationtest
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/state"
 )
 
 // disk is a fake data directory. Writes become durable in order, each after a
@@ -50,6 +52,7 @@
 	case coordination.SaveSnapshot:
 		l := d.log(e.Group)
 		l.Snapshot = e.Snapshot
+		l.Entries = slices.Clone(after(l.Entries, e.Snapshot.Index))
 	case coordination.Persist:
 		l := d.log(e.Group)
 		if e.Snapshot != nil {
@@ -59,11 +62,14 @@
 			l.HardState = *e.HardState
 		}
 		if len(e.Entries) > 0 {
-			n := 0
-			for n < len(l.Entries) && l.Entries[n].Index < e.Entries[0].Index {
-				n++
+			n := len(l.Entries)
+			for n > 0 && l.Entries[n-1].Index >= e.Entries[0].Index {
+				n--
 			}
-			l.Entries = append(l.Entries[:n:n], e.Entries...)
+			if n < len(l.Entries) {
+				l.Entries = slices.Clip(l.Entries[:n]) // a restarted node may read the old ones
+			}
+			l.Entries = append(l.Entries, e.Entries...)
 		}
 	}
 }
@@ -77,17 +83,22 @@
 	return l
 }
 
+// after returns the entries above an index.
+func after(entries []state.Entry, index uint64) []state.Entry {
+	n := 0
+	for n < len(entries) && entries[n].Index <= index {
+		n++
+	}
+	return entries[n:]
+}
+
 // recover returns what a restarted process reads.
 func (d *disk) recover() map[string]coordination.Recovered {
 	out := map[string]coordination.Recovered{}
 	for g, l := range d.logs {
 		r := *l
 		if s := l.Snapshot; s != nil {
-			n := 0
-			for n < len(r.Entries) && r.Entries[n].Index <= s.Index {
-				n++
-			}
-			r.Entries = r.Entries[n:]
+			r.Entries = after(r.Entries, s.Index)
 		}
 		r.Entries = r.Entries[:len(r.Entries):len(r.Entries)]
 		out[g] = r
--- a/coordination/coordinationtest/endpoint.go
+++ b/coordination/coordinationtest/endpoint.go
@@ -217,16 +217,26 @@
 	a := e.attempts[seq]
 	if a == nil && seq > e.low {
 		a = &attempt{ref: ref, seq: seq}
-		a.report = &state.Report{TaskRef: ref, Endpoint: e.Name, Incarnation: e.incarnation, Status: state.TaskNotRun, Error: "stopped before it started"}
+		a.report = e.notRun(ref)
 		e.attempts[seq] = a
 		e.deliver(a, e.life)
 		return
 	}
-	if a != nil && a.started && a.report == nil {
+	switch {
+	case a == nil || a.report != nil:
+	case a.started:
 		e.end(a)
+	default:
+		// The answer that declined it may be lost.
+		a.report = e.notRun(ref)
+		e.deliver(a, e.life)
 	}
 }
 
+func (e *Endpoint) notRun(ref state.TaskRef) *state.Report {
+	return &state.Report{TaskRef: ref, Endpoint: e.Name, Incarnation: e.incarnation, Status: state.TaskNotRun, Error: "stopped before it started"}
+}
+
 // end stops a running task, which takes a moment.
 func (e *Endpoint) end(a *attempt) {
 	if a.ending {
