--- a/coordination/policy/policy.go
+++ b/coordination/policy/policy.go
@@ -95,6 +95,11 @@
 
 // Advise implements scheduling.RetryPolicy.
 func (p *retries) Advise(c scheduling.Clock, o scheduling.Observation, endpointBad bool) scheduling.FailureAdvice {
+	if o.Status == state.TaskNotRun {
+		// Nothing ran, so this is no retry: it must not use up the budget of the team
+		// when an endpoint without a lease declines one task after the other.
+		return scheduling.FailureAdvice{Requeue: true}
+	}
 	r := o.Record
 	a := p.policy.Ended(c.Now, retry.AttemptOf(r, o.Task, o.Status, endpointBad))
 	out := scheduling.FailureAdvice{Requeue: a.Requeue, EndpointBad: a.EndpointBad}
