--- a/coordination/replication/bootstrap.go
+++ b/coordination/replication/bootstrap.go
@@ -11,15 +11,14 @@
 // for the group at bootstrap.
 const joinInterval = 200 * time.Millisecond
 
-// founderTimeout: an older answer that a member is empty does not count. The
-// member may have restarted since, and a group founded with a majority of dead
+// founderTimeout: an answer to an older query does not count. The member may have restarted since, and a group founded with a majority of dead
 // incarnations never starts.
 const founderTimeout = 2 * joinInterval
 
 // founder is an empty replica that answered a query.
 type founder struct {
 	state.Member
-	at time.Duration
+	at time.Duration // when the query was sent
 }
 
 // wantsJoin reports whether this replica asks to be admitted: it has no
@@ -43,7 +42,7 @@
 	}
 	for _, to := range g.knownMembers() {
 		self := g.self
-		g.send(to, Message{Type: MsgJoin, Member: &self, Nonce: g.nonce, Known: g.membership() != nil})
+		g.send(to, Message{Type: MsgJoin, Member: &self, Nonce: g.nonce, SentAt: g.now})
 	}
 }
 
@@ -70,9 +69,7 @@
 		g.answerEmpty(m)
 		return
 	}
-	if !m.Known {
-		g.answerKnown(m)
-	}
+	g.answerKnown(m)
 	if m.GroupID == g.groupID() && g.role == leader {
 		g.register(*m.Member)
 	}
@@ -87,13 +84,17 @@
 		g.nonce, g.joinGroup = g.cfg.Rand.Uint64(), 0
 	}
 	self := g.self
-	g.reply(m, Message{Type: MsgJoinResponse, Member: &self, Nonce: m.Nonce})
+	g.reply(m, Message{Type: MsgJoinResponse, Member: &self, Nonce: m.Nonce, SentAt: m.SentAt})
 }
 
 func (g *Group) answerKnown(m *Message) {
-	g.foundAgain(m)
-	g.founded = false
 	self := g.self
+	if g.mayFoundAgain(m) {
+		// The asker may be dead by now: only its answer shows that it is not.
+		g.reply(m, Message{Type: MsgJoin, Member: &self, Nonce: g.nonce, SentAt: g.now})
+		return
+	}
+	g.founded = false
 	r := Message{Type: MsgJoinResponse, Known: true, Member: &self, Members: g.voters(), Nonce: m.Nonce}
 	if g.log.offset == 0 {
 		if e := g.log.entries[0]; e.Membership != nil && listed(e.Membership.Voters, m.FromIncarnation) {
@@ -104,11 +105,19 @@
 }
 
 func (g *Group) handleJoinResponse(m *Message) {
-	if g.membership() != nil || m.Nonce != g.nonce || m.Member == nil {
+	if m.Nonce != g.nonce || m.Member == nil {
+		return
+	}
+	if g.membership() != nil {
+		if m.GroupID == g.groupID() && m.Known {
+			g.contacts = m.Members // newer addresses than those in a log that fell behind
+		} else if !m.Known && g.now-m.SentAt <= founderTimeout && g.mayFoundAgain(m) {
+			g.foundAgain(m)
+		}
 		return
 	}
 	if !m.Known {
-		g.founders[m.From] = founder{*m.Member, g.now}
+		g.founders[m.From] = founder{*m.Member, m.SentAt}
 		g.foundIfComplete()
 		return
 	}
@@ -147,15 +156,17 @@
 	g.begin(state.Entry{Index: 1, Term: 1, Membership: &m})
 }
 
-// foundAgain replaces the group that this process created if a founding member
-// has restarted without its state and nobody was told of the group yet. With two
-// members the group could otherwise never have a majority.
-func (g *Group) foundAgain(m *Message) {
+// mayFoundAgain reports whether a founding member comes with another incarnation
+// than the one listed, while nobody was told of the group that this process
+// created. With two members that group could never have a majority.
+func (g *Group) mayFoundAgain(m *Message) bool {
 	v := g.membership().Find(m.From)
-	if !g.founded || g.log.last() != 1 || v == nil || v.Incarnation == m.FromIncarnation {
-		return
-	}
-	g.founders[m.From] = founder{*m.Member, g.now}
+	return g.founded && g.log.last() == 1 && v != nil && v.Incarnation != m.FromIncarnation
+}
+
+// foundAgain replaces the group that this process created.
+func (g *Group) foundAgain(m *Message) {
+	g.founders[m.From] = founder{*m.Member, m.SentAt}
 	g.becomeFollower(g.term, "")
 	g.truncate(1)
 	g.found()
--- a/coordination/replication/election.go
+++ b/coordination/replication/election.go
@@ -101,12 +101,14 @@
 }
 
 // mayVoteFor reports whether a candidate's log is complete enough and the vote
-// of its term is free.
+// of its term is free. A founding member that never received the first entry votes
+// too: the candidate lists its incarnation, so it has lost nothing, and its vote may
+// be the one that is missing after the loss of another member.
 func (g *Group) mayVoteFor(m *Message) bool {
 	last, lastTerm := g.log.last(), g.log.lastTerm()
 	upToDate := m.LogTerm > lastTerm || m.LogTerm == lastTerm && m.Index >= last
 	free := m.Term > g.term || g.vote == "" || g.vote == voteID(m.From, m.FromIncarnation)
-	return upToDate && free && g.membership() != nil
+	return upToDate && free
 }
 
 func (g *Group) handlePreVote(m *Message) {
--- a/coordination/replication/guard_test.go
+++ b/coordination/replication/guard_test.go
@@ -163,6 +163,20 @@
 	}
 }
 
+// Guards against a group of three that stops after one loss because the third
+// member was slow to start and the entry that founded the group is compacted.
+func TestEmptyFoundingMemberVotes(t *testing.T) {
+	vs := voters(true, true, true)
+	g := New(Config{Group: "d", Self: vs[0], Rand: new(counter), Bootstrap: []string{"a", "b", "c"}}, 0)
+	g.Tick(0)
+	answer := from(vs[1], 0, Message{Type: MsgJoinResponse, Known: true, Nonce: g.nonce, Member: &vs[1], Members: vs})
+	step(t, g, 0, answer)
+	step(t, g, time.Second, from(vs[1], 3, Message{Type: MsgVote, Index: 50, LogTerm: 2}))
+	if g.vote != voteID("b", 2) {
+		t.Fatal("a listed member that is empty does not vote")
+	}
+}
+
 // Guards against the commit of an earlier term's entry by counting copies: a
 // candidate with a later term could still replace it.
 func TestCommitOnlyOwnTerm(t *testing.T) {
--- a/coordination/replication/message.go
+++ b/coordination/replication/message.go
@@ -11,8 +11,8 @@
 
 // Message types. The values are not stable across releases; encodings use names.
 const (
-	MsgJoin            MessageType = iota + 1 // Member, Nonce, Known: asks for the group and for admission to it
-	MsgJoinResponse                           // Member, Known, Nonce, Members, Entries: founding entry if the joiner is listed in it
+	MsgJoin            MessageType = iota + 1 // Member, Nonce, SentAt: asks for the group and for admission to it
+	MsgJoinResponse                           // Member, Known, Nonce, SentAt, Members, Entries: founding entry if the joiner is listed in it
 	MsgPreVote                                // Term: the term a vote would be for; Index, LogTerm: last entry
 	MsgPreVoteResponse                        // Reject
 	MsgVote                                   // Index, LogTerm: last entry; Transfer
@@ -64,7 +64,7 @@
 	LogTerm uint64
 	Commit  uint64
 	Hint    uint64        // in a response to an append: the matching index, synced or not; if refused, where to try next
-	SentAt  time.Duration // by the leader's clock; echoed, so that the lease counts from the sending
+	SentAt  time.Duration // by the clock of the leader or joiner; echoed, so that leases and queries count from the sending
 	Reject  bool
 
 	Transfer bool // the leader gave up its lease for this election
--- a/coordination/replication/replicationtest/faults.go
+++ b/coordination/replication/replicationtest/faults.go
@@ -53,10 +53,15 @@
 	})
 }
 
+// remaining counts the listed incarnations that still exist. One whose name has
+// another process that may replace it counts as lost: its removal may be under way, and
+// until the replacement is added the group can spare one member less.
 func (c *Cluster) remaining(m state.Membership, without *Process) int {
 	n := 0
 	for _, v := range m.Voters {
-		if slices.ContainsFunc(c.procs, func(p *Process) bool { return p != without && !p.retired && p.Self.Incarnation == v.Incarnation }) {
+		if slices.ContainsFunc(c.procs, func(p *Process) bool {
+			return p != without && !p.retired && p.Self.Incarnation == v.Incarnation && !c.hasRival(p)
+		}) {
 			n++
 		}
 	}
@@ -169,21 +174,25 @@
 }
 
 // hasRivals reports whether a name has two processes that were not ended.
-func (c *Cluster) hasRivals() bool {
-	names := map[string]bool{}
-	for _, p := range c.procs {
-		if !p.retired && names[p.Self.Name] {
-			return true
-		}
-		names[p.Self.Name] = names[p.Self.Name] || !p.retired
-	}
-	return false
+func (c *Cluster) hasRivals() bool { return slices.ContainsFunc(c.procs, c.hasRival) }
+
+// hasRival reports whether another process of the same name was not ended either.
+func (c *Cluster) hasRival(p *Process) bool {
+	return !p.retired && slices.ContainsFunc(c.procs, func(q *Process) bool {
+		return q != p && !q.retired && q.Self.Name == p.Self.Name
+	})
 }
 
 // changeMembers removes b from the group, or lets a new member join, by way of a.
 func (c *Cluster) changeMembers(a, b *Process) {
 	a.Do(func(g *replication.Group, now time.Duration) {
-		if len(g.Status(now).Members) > 3 {
+		voters := 0
+		for _, m := range g.Status(now).Members {
+			if m.Voter {
+				voters++
+			}
+		}
+		if voters > 3 {
 			_ = g.RemoveMember(now, b.Self.Name)
 		} else if len(c.procs) < maxProcesses && g.IsLeader() {
 			p := c.Start(fmt.Sprintf("new%d", len(c.procs)), fmt.Sprintf("new%d", len(c.procs)), b.Self.Disk)
