coordination: a leader without its lease does not keep the process awake

Cause: what was due while a leader had no lease stayed due, so NextWake lay in the past and the control goroutine ticked without pause until the lease came back. Change: such a leader is woken by its group alone, and two ticks are at least 1 ms apart.

--- a/coordination/node.go
+++ b/coordination/node.go
@@ -154,17 +154,22 @@
 	}
 }
 
+// wakeGranularity is the least time between two ticks. Something that is due and
+// cannot be done yet must not keep the control goroutine busy.
+const wakeGranularity = time.Millisecond
+
 // NextWake returns the monotonic time at which Step has to be called with a Tick
-// if no other event comes first.
+// if no other event comes first. A leader without its lease has nothing to do until
+// the group wakes it.
 func (n *Node) NextWake() time.Duration {
 	wake := n.clock.Now + time.Second
 	for _, r := range n.hosted {
 		wake = earlier(wake, r.raft.NextTick())
-		if r.lead != nil {
+		if r.lead != nil && r.raft.HasLease(n.clock.Now) {
 			wake = earlier(wake, r.lead.nextWake())
 		}
 	}
-	return wake
+	return max(wake, n.clock.Now+wakeGranularity)
 }
 
 // earlier returns the earlier of two times; 0 means never.
