--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -17,8 +17,16 @@
 	// was answered. health.LostAfter is longer by the clock drift and the time that an
 	// endpoint needs to stop its tasks.
 	taskLease = 10 * time.Second
-	// startRetry is the delay before an unanswered start is sent again.
+	// startRetry is the delay before a start is sent again to an endpoint that could
+	// not be reached.
 	startRetry = 500 * time.Millisecond
+	// declinedDelay is the delay before a task is assigned again that its endpoint has
+	// not run. An endpoint without a lease declines at once, for up to 6 s.
+	declinedDelay = 250 * time.Millisecond
+	// startTimeout is the delay before a start or stop without any answer is sent
+	// again: the transport drops calls when its queue is full. It is above the limit
+	// of one call, 2 s.
+	startTimeout = 5 * time.Second
 	// removeAfter is how long a lost endpoint is remembered, in milliseconds.
 	removeAfterMS = int64(retention / time.Millisecond)
 )
@@ -63,10 +71,32 @@
 	}
 }
 
-// renewLease answers a heartbeat. The answer is a lease, so it is given only by a
-// leader that still has its own, and not while the end of the endpoint's leases is
-// in the log: its tasks would be queued again under a valid lease.
+// renewLease answers a heartbeat. An endpoint that leaves is answered when that is
+// committed, so that a successor of this leader gives it no new work either.
 func (n *Node) renewLease(r *replica, e Heartbeat, known *state.Endpoint) {
+	if e.Endpoint.Status != state.EndpointLeaving || known.Leaves {
+		n.grantLease(r, e, known)
+		return
+	}
+	cmd := state.Command{EndpointStatus: &state.SetEndpointStatus{
+		AtMS: n.clock.WallMS, Name: known.Name, Incarnation: known.Incarnation, Status: state.EndpointLeaving,
+	}}
+	ok := n.propose(r, cmd, func(a state.Applied, committed bool) {
+		if !committed || a.Rejected != nil {
+			n.reply(e.Token, unavailable("the change to leaving was not committed"))
+			return
+		}
+		n.grantLease(r, e, a.Endpoint)
+	})
+	if !ok {
+		n.reply(e.Token, unavailable("the log of "+r.group+" takes no entries now"))
+	}
+}
+
+// grantLease is called only by a leader that still has its own lease. It grants none
+// while the loss of the endpoint is being committed: a start that is under way could
+// otherwise run although its task is about to be queued again.
+func (n *Node) grantLease(r *replica, e Heartbeat, known *state.Endpoint) {
 	l := r.lead
 	if l == nil || !r.raft.HasLease(n.clock.Now) {
 		n.reply(e.Token, unavailable("the leader of "+r.group+" has no contact to a majority"))
@@ -77,10 +107,7 @@
 		return
 	}
 	l.health.Answered(n.clock.Now, known.Name)
-	if e.Endpoint.Status == state.EndpointLeaving {
-		// A drain by an operator is not revoked by a heartbeat that says "ready".
-		l.health.Leaving(known.Name, true)
-	}
+	n.settleHeld(r, e, known)
 	answer := Lease{
 		Term: l.term, LeaseMS: taskLease.Milliseconds(), IntervalMS: heartbeatInterval.Milliseconds(),
 		LowWatermark: lowWatermark(r.domain, known), Stop: n.staleAttempts(r, e),
@@ -89,6 +116,25 @@
 	n.reply(e.Token, Answer{Code: CodeOK, Lease: &answer})
 }
 
+// settleHeld asks a returned endpoint about the unknown tasks that it does not list:
+// their starts may never have reached it, and nothing would release their capacity.
+// The start is sent again. The low watermark of the first heartbeat answer after the
+// return is above it, so the endpoint declines it unless it has run it.
+func (n *Node) settleHeld(r *replica, e Heartbeat, known *state.Endpoint) {
+	if known.Status == state.EndpointLost || known.Assigned == 0 {
+		return
+	}
+	listed := make(map[uint64]bool, len(e.Running))
+	for i := range e.Running {
+		listed[e.Running[i].Seq] = true
+	}
+	r.domain.AssignedTo(known.Name, func(seq uint64, ref state.TaskRef) {
+		if rec := r.domain.Record(ref.Key); rec.State[ref.Task].Held && !listed[seq] {
+			n.emit(n.startOf(r, rec, ref.Task, known))
+		}
+	})
+}
+
 // staleAttempts lists what an endpoint holds although the state does not, or
 // although it was cancelled.
 func (n *Node) staleAttempts(r *replica, e Heartbeat) []Running {
@@ -108,13 +154,16 @@
 	return out
 }
 
-// lowWatermark returns the highest sequence number up to which every assignment of
-// the endpoint is settled. The endpoint forgets those and rejects late copies of
-// their starts.
+// lowWatermark returns the highest sequence number up to which no start is wanted any
+// more. The endpoint forgets the settled ones and rejects late copies of their starts.
+// Held tasks do not lower it: they are never started again, and the starts of
+// repeatable work after them, which was queued again, must be rejected.
 func lowWatermark(d *state.Domain, e *state.Endpoint) uint64 {
 	low := e.LastSeq
-	d.AssignedTo(e.Name, func(seq uint64, _ state.TaskRef) {
-		low = min(low, seq-1)
+	d.AssignedTo(e.Name, func(seq uint64, ref state.TaskRef) {
+		if !d.Record(ref.Key).State[ref.Task].Held {
+			low = min(low, seq-1)
+		}
 	})
 	return low
 }
@@ -216,13 +265,16 @@
 			p.Requeue, p.EndpointBad, p.NotBeforeMS = advice.Requeue, advice.EndpointBad, advice.NotBeforeMS
 		case state.TaskNotRun, state.TaskCancelled:
 			p.Requeue = true // the state queues it again only if that is safe and nobody cancelled it
+			p.NotBeforeMS = n.clock.WallMS + declinedDelay.Milliseconds()
 		}
 	}
 	l := r.lead
 	l.reporting[p.TaskRef] = true
 	ok := n.propose(r, state.Command{Report: &p}, func(a state.Applied, committed bool) {
 		delete(l.reporting, p.TaskRef)
-		delete(l.starts, p.TaskRef)
+		if committed {
+			delete(l.starts, p.TaskRef)
+		}
 		done(committed)
 	})
 	if !ok {
@@ -239,18 +291,24 @@
 	if e == nil || e.Incarnation != t.Incarnation {
 		return
 	}
-	s := StartTask{
+	d := &dispatch{start: n.startOf(r, rec, task, e), next: n.clock.Now + startTimeout}
+	r.lead.starts[d.start.Ref] = d
+	n.emit(d.start)
+}
+
+func (n *Node) startOf(r *replica, rec *state.Record, task int, e *state.Endpoint) StartTask {
+	t := &rec.State[task]
+	return StartTask{
 		Group: r.group, Domain: r.domainName, Term: r.lead.term,
 		Ref:      state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
 		Endpoint: e.Name, Address: e.Address, Incarnation: e.Incarnation, Seq: t.Seq,
 		Kind: rec.Kind, Class: rec.Class, Repeatable: rec.Repeatable, PerTask: rec.PerTask, Payload: rec.Payload,
 	}
-	r.lead.starts[s.Ref] = &dispatch{start: s}
-	n.emit(s)
 }
 
-// resendStarts sends the starts whose endpoints could not be reached again, as
-// long as they are still wanted.
+// resendStarts sends the starts again that no endpoint has answered, as long as they
+// are still wanted, or the stops of those that were cancelled meanwhile: the endpoint
+// may know nothing of the attempt and then reports nothing without a stop.
 func (n *Node) resendStarts(r *replica) {
 	for ref, d := range r.lead.starts {
 		rec := r.domain.Record(ref.Key)
@@ -258,10 +316,14 @@
 			delete(r.lead.starts, ref)
 			continue
 		}
-		if d.next == 0 || n.clock.Now < d.next || rec.Cancel {
+		if n.clock.Now < d.next {
+			continue
+		}
+		d.next = n.clock.Now + startTimeout
+		if rec.Cancel {
+			n.stopTask(r, rec, ref.Task)
 			continue
 		}
-		d.next = 0
 		d.start.Try++
 		n.emit(d.start)
 	}
@@ -276,16 +338,37 @@
 	case StartAccepted:
 		delete(r.lead.starts, e.Start.Ref)
 	case StartUnreachable:
-		if d := r.lead.starts[e.Start.Ref]; d != nil {
-			d.next = n.clock.Now + startRetry
-		}
+		n.retryStart(r, e.Start.Ref)
 	case StartDeclined:
-		p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
+		n.startDeclined(r, e)
+	}
+}
+
+func (n *Node) retryStart(r *replica, ref state.TaskRef) {
+	if r.lead == nil {
+		return
+	}
+	if d := r.lead.starts[ref]; d != nil {
+		d.next = n.clock.Now + startRetry
+	}
+}
+
+// startDeclined ends an attempt that never runs. If the log takes no entry now, the
+// start is sent again to get the same answer.
+func (n *Node) startDeclined(r *replica, e StartAnswered) {
+	p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
+	if _, ok := currentTask(r.domain, &p); !ok {
 		delete(r.lead.starts, e.Start.Ref)
-		if _, ok := currentTask(r.domain, &p); ok && !r.lead.reporting[p.TaskRef] {
-			n.endAttempt(r, p, func(bool) {})
-		}
+		return
+	}
+	if r.lead.reporting[p.TaskRef] {
+		return
 	}
+	n.endAttempt(r, p, func(committed bool) {
+		if !committed {
+			n.retryStart(r, e.Start.Ref)
+		}
+	})
 }
 
 // stopTask asks an endpoint to stop an attempt. Heartbeat answers repeat it until
@@ -302,6 +385,14 @@
 	})
 }
 
+// watchStop has a stop sent again until the attempt has ended.
+func (n *Node) watchStop(r *replica, rec *state.Record, task int) {
+	if e := r.domain.Endpoint(rec.State[task].Endpoint); e != nil {
+		s := n.startOf(r, rec, task, e)
+		r.lead.starts[s.Ref] = &dispatch{start: s, next: n.clock.Now + startTimeout}
+	}
+}
+
 func (n *Node) listEndpoints(e ListEndpoints) {
 	r := n.owner(DomainGroup(e.Domain), e.Token)
 	if r == nil {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -21,6 +21,11 @@
 	forgetBatch    = 1000
 )
 
+// outsideTerm is how long an outside member leads before it passes leadership back.
+// The member that it got it from may be stopping, which takes up to 30 s, and would
+// return it at once.
+const outsideTerm = 35 * time.Second
+
 // leadership is what a leader knows beyond the replicated state. It is rebuilt
 // when a term begins.
 type leadership struct {
@@ -49,7 +54,7 @@
 // dispatch is a start that its endpoint has not acknowledged.
 type dispatch struct {
 	start StartTask
-	next  time.Duration // of the next try, 0 while one is under way
+	next  time.Duration // of the next try
 }
 
 func (l *leadership) nextWake() time.Duration {
@@ -113,6 +118,7 @@
 		if t := &rec.State[i]; t.Status == state.TaskAssigned {
 			if rec.Cancel {
 				n.stopTask(r, rec, i)
+				n.watchStop(r, rec, i)
 			} else {
 				n.dispatch(r, rec, i)
 			}
@@ -210,7 +216,8 @@
 
 // sweep does the periodic checks of a leader.
 func (n *Node) sweep(r *replica) {
-	if n.stopping || r.domainName != "" && r.domainName != n.self.Domain {
+	outside := r.domainName != "" && r.domainName != n.self.Domain
+	if n.stopping || outside && n.clock.Now-r.lead.since >= outsideTerm {
 		// An outside member leads only while no member of the domain can: endpoints and
 		// callers are closer to those.
 		n.passLeadership(r)
--- a/coordination/policy/policy.go
+++ b/coordination/policy/policy.go
@@ -1,10 +1,12 @@
-// Package policy combines the learned estimates, the retry budgets and the health
-// of endpoints into the options of a scheduler.
+// Package policy combines the learned estimates, the limits on admission, the retry
+// budgets and the health of endpoints into the options of a scheduler.
 package policy
 
 import (
+	"math"
 	"time"
 
+	"github.com/primrosereach/primrosereach/coordination/admission"
 	"github.com/primrosereach/primrosereach/coordination/estimate"
 	"github.com/primrosereach/primrosereach/coordination/health"
 	"github.com/primrosereach/primrosereach/coordination/retry"
@@ -24,7 +26,9 @@
 		e.Observe(scheduling.Clock{}, o)
 	}
 	p := retry.New(uniform{r})
-	return scheduling.Options{Estimator: e, Retry: &retries{policy: p}, Health: &quarantine{tracker: t, retries: p}}
+	a := &admitter{controller: admission.New()}
+	e.completed = a.controller.Completed
+	return scheduling.Options{Estimator: e, Admitter: a, Retry: &retries{policy: p}, Health: &quarantine{tracker: t, retries: p}}
 }
 
 // uniform implements retry.Random.
@@ -34,7 +38,10 @@
 func (u uniform) Float64() float64 { return float64(u.r.Uint64()>>11) / (1 << 53) }
 
 // estimator implements scheduling.Estimator.
-type estimator struct{ learned *estimate.Estimator }
+type estimator struct {
+	learned   *estimate.Estimator
+	completed func(now time.Duration, c state.Class, run time.Duration) // nil while history is learned
+}
 
 const (
 	// unknownRun is assumed of a kind that declares nothing and was never observed.
@@ -52,7 +59,18 @@
 	if p.Samples == 0 {
 		p.P90 = declaredMargin * p.P50
 	}
-	return scheduling.Estimate{RunMS: p.P50.Milliseconds(), UpperMS: p.P90.Milliseconds(), Reliability: p.Reliability}
+	return scheduling.Estimate{RunMS: mean(p).Milliseconds(), UpperMS: p.P90.Milliseconds(), Reliability: p.Reliability}
+}
+
+// quantile90 is the 90% quantile of the standard normal distribution.
+const quantile90 = 1.2816
+
+// mean returns the mean of the log-normal distribution that has the predicted
+// quantiles. The median understates the work in a queue: with it, deferrable work
+// waited beyond its bound.
+func mean(p estimate.Prediction) time.Duration {
+	sigma := math.Log(float64(p.P90)/float64(p.P50)) / quantile90
+	return time.Duration(float64(p.P50) * math.Exp(sigma*sigma/2))
 }
 
 // Speed implements scheduling.Estimator.
@@ -64,6 +82,9 @@
 	if o.Status != state.TaskDone || o.RunMS <= 0 || o.Record.Class == state.ClassService {
 		return
 	}
+	if e.completed != nil {
+		e.completed(c.Now, o.Record.Class, milliseconds(e.Estimate(&o.Record.Request).RunMS))
+	}
 	e.learned.Observe(c.Now, estimate.Observation{
 		Team: o.Record.Team, Kind: o.Record.Kind, Endpoint: o.Endpoint, DeclaredMS: o.Record.EstimateMS, RunMS: o.RunMS,
 	})
@@ -74,6 +95,11 @@
 
 // Advise implements scheduling.RetryPolicy.
 func (p *retries) Advise(c scheduling.Clock, o scheduling.Observation, endpointBad bool) scheduling.FailureAdvice {
+	if o.Status == state.TaskNotRun {
+		// Nothing ran, so this is no retry: it must not use up the budget of the team
+		// when an endpoint without a lease declines one task after the other.
+		return scheduling.FailureAdvice{Requeue: true}
+	}
 	r := o.Record
 	a := p.policy.Ended(c.Now, retry.AttemptOf(r, o.Task, o.Status, endpointBad))
 	out := scheduling.FailureAdvice{Requeue: a.Requeue, EndpointBad: a.EndpointBad}
