--- a/coordination/coordinationtest/endpoint.go
+++ b/coordination/coordinationtest/endpoint.go
@@ -22,7 +22,7 @@
 // EndpointGuards switches off checks of the fake endpoints, so that tests can show
 // that the invariants notice.
 type EndpointGuards struct {
-	NoTerm, NoIncarnation, NoLease, NoDuplicates, NoWatermark, NoStopAtLeaseEnd bool
+	NoTerm, NoIncarnation, NoLease, NoDuplicates, NoWatermark, NoStopAtLeaseEnd, DeclineAfterRestart bool
 }
 
 // Endpoint is a runner or worker that follows the contract of demo/standin.
@@ -86,7 +86,7 @@
 	}
 	e.up = true
 	e.life++
-	e.incarnation = e.w.rng.Uint64() | 1
+	e.incarnation = max(e.incarnation+1, uint64(e.w.wallMS())<<20|e.w.rng.Uint64N(1<<20))
 	e.term, e.leaseUntil, e.low, e.assigner, e.interval = 0, 0, 0, nil, 200*time.Millisecond
 	e.leaving, e.FailAll = false, false
 	e.used, e.attempts = state.Resources{}, map[uint64]*attempt{}
@@ -134,6 +134,9 @@
 		return coordination.StartUnreachable, "connection refused"
 	}
 	if s.Incarnation != e.incarnation && !g.NoIncarnation {
+		if g.DeclineAfterRestart {
+			return coordination.StartDeclined, "the endpoint has restarted"
+		}
 		// The earlier incarnation may have run it: nothing is known here.
 		return coordination.StartUnreachable, "the endpoint has restarted"
 	}
--- a/coordination/coordinationtest/operator.go
+++ b/coordination/coordinationtest/operator.go
@@ -51,9 +51,15 @@
 func (o *Operator) Change(expected uint64, done func(state.ConfigureResult)) {
 	o.changes++
 	o.w.nextID++
+	once := func(r state.ConfigureResult) {
+		if done != nil {
+			done(r)
+			done = nil
+		}
+	}
 	o.resend(state.Configure{
 		Actor: o.site.name, ChangeID: fmt.Sprintf("%s-%d", o.site.name, o.changes), Expected: expected, Config: configuration(o.w.nextID),
-	}, done)
+	}, once)
 }
 
 func (o *Operator) resend(change state.Configure, done func(state.ConfigureResult)) {
@@ -67,9 +73,7 @@
 		}
 		open = false
 		o.w.Checks.configured(&change, *a.Configured)
-		if done != nil {
-			done(*a.Configured)
-		}
+		done(*a.Configured)
 	})
 	o.w.After(o.w.between(time.Second, 4*time.Second), func() {
 		if open && !o.w.Checks.over {
--- a/coordination/coordinationtest/process.go
+++ b/coordination/coordinationtest/process.go
@@ -29,6 +29,8 @@
 	calls   map[coordination.Token]func(coordination.Answer)
 	Stopped bool // told to stop
 	Failed  bool // its storage failed
+	steps   int
+	effects int
 }
 
 type queuedEvent struct {
@@ -142,7 +144,9 @@
 		return
 	}
 	p.w.Steps++
+	p.steps++
 	effects := p.node.Step(p.clock(), ev)
+	p.effects += len(effects)
 	p.w.Checks.stepped(p)
 	p.execute(effects)
 	p.scheduleTick()
--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -60,9 +60,13 @@
 	l.announcing[e.Endpoint.Name] = e.Endpoint.Incarnation
 	ok := n.propose(r, state.Command{Announce: &state.Announce{AtMS: n.clock.WallMS, Endpoint: e.Endpoint}}, func(a state.Applied, committed bool) {
 		delete(l.announcing, e.Endpoint.Name)
-		if !committed || a.Rejected != nil {
+		switch {
+		case !committed:
 			n.reply(e.Token, unavailable("the announcement was not committed"))
 			return
+		case a.Rejected != nil:
+			n.reply(e.Token, Answer{Code: CodeConflict, Message: a.Rejected.Error()})
+			return
 		}
 		n.log("info", "announce", e.Endpoint.Name, string(e.Endpoint.Kind)+" announced")
 		n.renewLease(r, e, a.Endpoint)
--- a/demo/standin/standin.go
+++ b/demo/standin/standin.go
@@ -98,7 +98,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Endpoint{
-		cfg: cfg, incarnation: rand.Uint64() | 1, address: l.Addr().String(), ctx: ctx, cancel: cancel,
+		cfg: cfg, incarnation: newIncarnation(), address: l.Addr().String(), ctx: ctx, cancel: cancel,
 		client: &http.Client{Timeout: 3 * time.Second}, interval: 200 * time.Millisecond, attempts: map[uint64]*attempt{},
 	}
 	mux := http.NewServeMux()
@@ -111,6 +111,10 @@
 	return e, nil
 }
 
+// newIncarnation returns a number that is higher at each start: the milliseconds and
+// 20 random bits.
+func newIncarnation() uint64 { return uint64(time.Now().UnixMilli())<<20 | rand.Uint64N(1<<20) }
+
 // Address returns the address at which starts arrive.
 func (e *Endpoint) Address() string { return e.address }
 
--- a/protocol/endpoint.go
+++ b/protocol/endpoint.go
@@ -22,7 +22,7 @@
 	Domain      string             `json:"domain"` // failure domain that the endpoint belongs to
 	Kind        state.EndpointKind `json:"kind"`
 	Address     string             `json:"address"`     // IP:port at which starts arrive
-	Incarnation uint64             `json:"incarnation"` // random per start of the endpoint
+	Incarnation uint64             `json:"incarnation"` // higher at each start of the endpoint, such as its time
 	Capacity    state.Resources    `json:"capacity"`
 	Used        state.Resources    `json:"used,omitzero"` // measured, with a lag
 	Rack        string             `json:"rack,omitempty"`
--- a/state/apply_endpoint.go
+++ b/state/apply_endpoint.go
@@ -5,10 +5,8 @@
 	"slices"
 )
 
-// maxFormer bounds the earlier incarnations that are remembered of an endpoint. A
-// delayed heartbeat of one of them must not end the work of the present one.
-const maxFormer = 16
-
+// announce adds an endpoint. Incarnations of one endpoint increase: a delayed
+// heartbeat of an earlier one must not end the work of the present one.
 func (d *Domain) announce(c *Announce) Applied {
 	e := c.Endpoint
 	e.Reserved, e.Assigned, e.LastSeq = Resources{}, 0, 0
@@ -26,11 +24,9 @@
 				return Applied{Rejected: fmt.Errorf("endpoint %s announces less capacity than is reserved: %w", e.Name, ErrNoCapacity)}
 			}
 		} else {
-			former := d.former[e.Name]
-			if slices.Contains(former, e.Incarnation) {
+			if e.Incarnation < old.Incarnation {
 				return Applied{Rejected: fmt.Errorf("endpoint %s announces an incarnation that has ended: %w", e.Name, ErrStale)}
 			}
-			d.former[e.Name] = append(slices.Clone(former[max(0, len(former)+1-maxFormer):]), old.Incarnation)
 			a.Records = d.endLeases(e.Name, c.AtMS, true, "endpoint restarted")
 		}
 	}
@@ -116,6 +112,5 @@
 	}
 	a := Applied{Records: d.endLeases(c.Name, c.AtMS, true, "endpoint removed")}
 	delete(d.endpoints, c.Name)
-	delete(d.former, c.Name)
 	return a
 }
--- a/state/domain.go
+++ b/state/domain.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 )
 
@@ -39,7 +38,6 @@
 	horizonS  int64
 	records   map[Key]*Record
 	endpoints map[string]*Endpoint
-	former    map[string][]uint64           // earlier incarnations by endpoint, the latest last; slices are replaced, never changed
 	assigned  map[string]map[uint64]TaskRef // endpoint name and sequence number
 	usage     map[string]Usage              // by team
 	refused   map[Key]Refuse
@@ -55,7 +53,6 @@
 		name:      name,
 		records:   map[Key]*Record{},
 		endpoints: map[string]*Endpoint{},
-		former:    map[string][]uint64{},
 		assigned:  map[string]map[uint64]TaskRef{},
 		usage:     map[string]Usage{},
 		refused:   map[Key]Refuse{},
@@ -158,7 +155,6 @@
 	HorizonS  int64                  `json:"horizon_s"`
 	Records   []*Record              `json:"records"`
 	Endpoints []*Endpoint            `json:"endpoints"`
-	Former    map[string][]uint64    `json:"former,omitempty"` // earlier incarnations by endpoint
 	Adopted   VersionedConfiguration `json:"adopted"`
 	Shares    map[string]Resources   `json:"shares"`
 	Refusals  []Refuse               `json:"refusals,omitempty"`
@@ -172,7 +168,6 @@
 		Name: d.name, Applied: d.applied, HorizonS: d.horizonS, Adopted: d.adopted,
 		Records:   make([]*Record, 0, len(d.records)),
 		Endpoints: make([]*Endpoint, 0, len(d.endpoints)),
-		Former:    maps.Clone(d.former),
 		Shares:    d.shares, // replaced, never changed, by AdoptConfiguration
 		Refusals:  append([]Refuse(nil), d.refusals...),
 		Audit:     d.audit[:len(d.audit):len(d.audit)],
@@ -201,7 +196,6 @@
 	for _, e := range s.Endpoints {
 		d.endpoints[e.Name] = e
 	}
-	maps.Copy(d.former, s.Former)
 	for _, r := range s.Records {
 		d.records[r.Key] = r
 		for i := range r.State {
