--- a/coordination/endpoints.go
+++ b/coordination/endpoints.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/primrosereach/primrosereach/coordination/scheduling"
 	"github.com/primrosereach/primrosereach/state"
 )
 
@@ -18,16 +17,6 @@
 	// leader whose clock is 10% fast ends the lease after 10 s, which it counts as
 	// health.LostAfter. The difference is for stopping the tasks.
 	taskLease = 8 * time.Second
-	// startRetry is the delay before a start is sent again to an endpoint that could
-	// not be reached.
-	startRetry = 500 * time.Millisecond
-	// declinedDelay is the delay before a task is assigned again that its endpoint has
-	// not run. An endpoint without a lease declines at once, for up to 6 s.
-	declinedDelay = 250 * time.Millisecond
-	// startTimeout is the delay before a start or stop without any answer is sent
-	// again: the transport drops calls when its queue is full. It is above the limit
-	// of one call, 2 s.
-	startTimeout = 5 * time.Second
 	// removeAfter is how long a lost endpoint is remembered, in milliseconds.
 	removeAfterMS = int64(retention / time.Millisecond)
 )
@@ -220,184 +209,6 @@
 	}
 }
 
-// taskReport ends an attempt. The endpoint keeps its report until it is
-// acknowledged, so a report that comes twice is acknowledged twice.
-func (n *Node) taskReport(e TaskReport) {
-	r := n.owner(DomainGroup(e.Domain), e.Token)
-	if r == nil {
-		return
-	}
-	if _, ok := currentTask(r.domain, &e.Report); !ok {
-		n.reply(e.Token, Answer{Code: CodeOK, Message: "the attempt is not the current one"})
-		return
-	}
-	if r.lead.reporting[e.Report.TaskRef] {
-		// The endpoint repeats a report whose answer was lost. The outcome was learned
-		// from when it came first.
-		n.reply(e.Token, unavailable("the report is being committed"))
-		return
-	}
-	n.endAttempt(r, e.Report, func(committed bool) {
-		if !committed {
-			n.reply(e.Token, unavailable("leadership of "+r.group+" changed"))
-			return
-		}
-		n.reply(e.Token, Answer{Code: CodeOK})
-	})
-}
-
-func currentTask(d *state.Domain, p *state.Report) (*state.Record, bool) {
-	rec := d.Record(p.Key)
-	if rec == nil || p.Task < 0 || p.Task >= len(rec.State) {
-		return nil, false
-	}
-	t := &rec.State[p.Task]
-	open := t.Status == state.TaskAssigned || t.Status == state.TaskUnknown
-	return rec, open && t.Attempt == p.Attempt && t.Endpoint == p.Endpoint && t.Incarnation == p.Incarnation
-}
-
-// endAttempt proposes a report together with the decision whether to try again.
-func (n *Node) endAttempt(r *replica, p state.Report, done func(committed bool)) {
-	rec := r.domain.Record(p.Key)
-	t := &rec.State[p.Task]
-	p.AtMS = n.clock.WallMS
-	if t.Status == state.TaskAssigned {
-		advice := r.lead.sched.Observe(n.clock, scheduling.Observation{
-			Record: rec, Task: p.Task, Endpoint: p.Endpoint, RunMS: n.clock.WallMS - t.AssignedMS, Status: p.Status,
-		})
-		switch p.Status {
-		case state.TaskFailed:
-			p.Requeue, p.EndpointBad, p.NotBeforeMS = advice.Requeue, advice.EndpointBad, advice.NotBeforeMS
-		case state.TaskNotRun, state.TaskCancelled:
-			p.Requeue = true // the state queues it again only if that is safe and nobody cancelled it
-			p.NotBeforeMS = n.clock.WallMS + declinedDelay.Milliseconds()
-		}
-	}
-	l := r.lead
-	l.reporting[p.TaskRef] = true
-	ok := n.propose(r, state.Command{Report: &p}, func(a state.Applied, committed bool) {
-		delete(l.reporting, p.TaskRef)
-		if committed {
-			delete(l.starts, p.TaskRef)
-		}
-		done(committed)
-	})
-	if !ok {
-		delete(l.reporting, p.TaskRef)
-		done(false)
-	}
-}
-
-// dispatch sends the start of an assigned task. It is called only for a committed
-// assignment.
-func (n *Node) dispatch(r *replica, rec *state.Record, task int) {
-	t := &rec.State[task]
-	e := r.domain.Endpoint(t.Endpoint)
-	if e == nil || e.Incarnation != t.Incarnation {
-		return
-	}
-	d := &dispatch{start: n.startOf(r, rec, task, e), next: n.clock.Now + startTimeout}
-	r.lead.starts[d.start.Ref] = d
-	n.emit(d.start)
-}
-
-func (n *Node) startOf(r *replica, rec *state.Record, task int, e *state.Endpoint) StartTask {
-	t := &rec.State[task]
-	return StartTask{
-		Group: r.group, Domain: r.domainName, Term: r.lead.term,
-		Ref:      state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
-		Endpoint: e.Name, Address: e.Address, Incarnation: e.Incarnation, Seq: t.Seq,
-		Kind: rec.Kind, Class: rec.Class, Repeatable: rec.Repeatable, PerTask: rec.PerTask, Payload: rec.Payload,
-	}
-}
-
-// resendStarts sends the starts again that no endpoint has answered, as long as they
-// are still wanted, or the stops of those that were cancelled meanwhile: the endpoint
-// may know nothing of the attempt and then reports nothing without a stop.
-func (n *Node) resendStarts(r *replica) {
-	for ref, d := range r.lead.starts {
-		rec := r.domain.Record(ref.Key)
-		if rec == nil || rec.State[ref.Task].Status != state.TaskAssigned || rec.State[ref.Task].Attempt != ref.Attempt {
-			delete(r.lead.starts, ref)
-			continue
-		}
-		if n.clock.Now < d.next {
-			continue
-		}
-		d.next = n.clock.Now + startTimeout
-		if rec.Cancel {
-			n.stopTask(r, rec, ref.Task)
-			continue
-		}
-		d.start.Try++
-		n.emit(d.start)
-	}
-}
-
-func (n *Node) startAnswered(e StartAnswered) {
-	r := n.replicas[e.Start.Group]
-	if r == nil || r.lead == nil || r.lead.term != e.Start.Term {
-		return
-	}
-	switch e.Result {
-	case StartAccepted:
-		delete(r.lead.starts, e.Start.Ref)
-	case StartUnreachable:
-		n.retryStart(r, e.Start.Ref)
-	case StartDeclined:
-		n.startDeclined(r, e)
-	}
-}
-
-func (n *Node) retryStart(r *replica, ref state.TaskRef) {
-	if r.lead == nil {
-		return
-	}
-	if d := r.lead.starts[ref]; d != nil {
-		d.next = n.clock.Now + startRetry
-	}
-}
-
-// startDeclined ends an attempt that never runs. If the log takes no entry now, the
-// start is sent again to get the same answer.
-func (n *Node) startDeclined(r *replica, e StartAnswered) {
-	p := state.Report{TaskRef: e.Start.Ref, Endpoint: e.Start.Endpoint, Incarnation: e.Start.Incarnation, Status: state.TaskNotRun, Error: e.Reason}
-	if _, ok := currentTask(r.domain, &p); !ok {
-		delete(r.lead.starts, e.Start.Ref)
-		return
-	}
-	if r.lead.reporting[p.TaskRef] {
-		return
-	}
-	n.endAttempt(r, p, func(committed bool) {
-		if !committed {
-			n.retryStart(r, e.Start.Ref)
-		}
-	})
-}
-
-// stopTask asks an endpoint to stop an attempt. Heartbeat answers repeat it until
-// the endpoint reports.
-func (n *Node) stopTask(r *replica, rec *state.Record, task int) {
-	t := &rec.State[task]
-	e := r.domain.Endpoint(t.Endpoint)
-	if e == nil {
-		return
-	}
-	n.emit(StopTask{
-		Group: r.group, Domain: r.domainName, Term: r.lead.term, Ref: state.TaskRef{Key: rec.Key, Task: task, Attempt: t.Attempt},
-		Endpoint: e.Name, Address: e.Address, Incarnation: t.Incarnation, Seq: t.Seq,
-	})
-}
-
-// watchStop has a stop sent again until the attempt has ended.
-func (n *Node) watchStop(r *replica, rec *state.Record, task int) {
-	if e := r.domain.Endpoint(rec.State[task].Endpoint); e != nil {
-		s := n.startOf(r, rec, task, e)
-		r.lead.starts[s.Ref] = &dispatch{start: s, next: n.clock.Now + startTimeout}
-	}
-}
-
 func (n *Node) listEndpoints(e ListEndpoints) {
 	r := n.owner(DomainGroup(e.Domain), e.Token)
 	if r == nil {
--- a/coordination/leader.go
+++ b/coordination/leader.go
@@ -29,20 +29,20 @@
 // leadership is what a leader knows beyond the replicated state. It is rebuilt
 // when a term begins.
 type leadership struct {
-	term       uint64
-	since      time.Duration
-	sched      scheduling.Scheduler // nil in the cell group
-	starts     map[state.TaskRef]*dispatch
-	health     *health.Tracker
-	changes    map[string]*statusChange // not yet committed, by endpoint
-	announcing map[string]uint64        // incarnation whose Announce is in the log, by endpoint
-	waiters    map[state.Key][]Token    // calls that wait for a final record
-	waitingFor map[Token]state.Key
-	reporting  map[state.TaskRef]bool // attempts whose report is in the log
-	adopting   bool
-	founding   bool // the group's Bootstrap command is in the log
-	nextSweep  time.Duration
-	nextForget time.Duration
+	term          uint64
+	since         time.Duration
+	sched         scheduling.Scheduler // nil in the cell group
+	starts        map[state.TaskRef]*dispatch
+	health        *health.Tracker
+	changes       map[string]*statusChange // not yet committed, by endpoint
+	announcing    map[string]uint64        // incarnation whose Announce is in the log, by endpoint
+	waiters       map[state.Key][]Token    // calls that wait for a final record
+	waitingFor    map[Token]state.Key
+	reporting     map[state.TaskRef]bool // attempts whose report is in the log
+	adopting      bool
+	bootstrapping bool // the group's Bootstrap command is in the log
+	nextSweep     time.Duration
+	nextForget    time.Duration
 }
 
 // statusChange is a change of endpoint status that the tracker asked for.
@@ -194,11 +194,11 @@
 // setHorizon makes a new group refuse IDs that an earlier one may have run. Until it
 // is applied, the leader answers nothing.
 func (n *Node) setHorizon(r *replica) {
-	if r.lead.founding {
+	if r.lead.bootstrapping {
 		return
 	}
 	horizon := max(1, n.clock.WallMS/1000) // 0 means not set
-	r.lead.founding = n.propose(r, state.Command{Bootstrap: &state.Bootstrap{HorizonS: horizon}}, nil)
+	r.lead.bootstrapping = n.propose(r, state.Command{Bootstrap: &state.Bootstrap{HorizonS: horizon}}, nil)
 }
 
 func (n *Node) proposePlan(r *replica, plan *state.Assign) {
@@ -269,6 +269,14 @@
 			n.answerWaiters(r, rec)
 		}
 	}
+	for _, rec := range a.Released {
+		l.sched.RecordChanged(n.clock, rec)
+		for i := range rec.State {
+			if e := r.domain.Endpoint(rec.State[i].Endpoint); e != nil {
+				l.sched.EndpointChanged(n.clock, e)
+			}
+		}
+	}
 	n.endpointsTouched(r, cmd, a)
 	for _, ref := range a.Assigned {
 		rec := r.domain.Record(ref.Key)
--- a/coordination/scheduling/plan.go
+++ b/coordination/scheduling/plan.go
@@ -29,10 +29,10 @@
 	s.planTrials(b)
 	s.planWorkers(b)
 	s.more = b.left <= 0
-	for _, w := range s.setAside {
+	for _, w := range s.parked {
 		w.q.Unpark(w.l, w.l.Borrows())
 	}
-	s.setAside = s.setAside[:0]
+	s.parked = s.parked[:0]
 	return b.out
 }
 
@@ -172,7 +172,7 @@
 // skip sets a lane aside for the rest of the plan.
 func (s *planner) skip(q *queue.Queue, l *queue.Lane, reason string) {
 	q.Park(l, reason)
-	s.setAside = append(s.setAside, parkedLane{q, l})
+	s.parked = append(s.parked, parkedLane{q, l})
 	s.tries--
 }
 
--- a/coordination/scheduling/planner.go
+++ b/coordination/scheduling/planner.go
@@ -47,7 +47,7 @@
 	clock    Clock // of the latest call that carried one
 	more     bool  // the last plan reached its bound
 	tries    int   // failed attempts left in this plan
-	setAside []parkedLane
+	parked   []parkedLane
 	picks    picks
 	filter   timely // reused by each search
 }
--- a/state/apply.go
+++ b/state/apply.go
@@ -11,6 +11,7 @@
 	Records  []*Record // new versions of the records that changed
 	Endpoint *Endpoint // new version of the endpoint that changed, if one did
 	Assigned []TaskRef // attempts that were assigned, for Assign
+	Released []*Record // forgotten records whose tasks still reserved capacity, without that
 }
 
 // Apply performs a command at a log index or rejects it without any change.
@@ -340,6 +341,7 @@
 // forget removes final records. The horizon moves past the issue time of each in
 // the same step: otherwise a late resend of a forgotten ID would run again.
 func (d *Domain) forget(c *Forget) Applied {
+	var a Applied
 	horizon := max(d.horizonS, c.HorizonS)
 	for _, k := range c.Keys {
 		r := d.records[k]
@@ -349,13 +351,27 @@
 		if _, issued, err := k.ID.Parse(); err == nil {
 			horizon = max(horizon, issued+1)
 		}
-		for i := range r.State {
-			if r.State[i].Held {
-				d.release(r.clone(), i)
-			}
+		if released := d.releaseHeld(r); released != nil {
+			a.Released = append(a.Released, released)
 		}
 		delete(d.records, k)
 	}
 	d.horizonS = horizon
-	return Applied{}
+	return a
+}
+
+// releaseHeld returns the capacity that the unknown tasks of a record reserve. The
+// result is nil if there are none.
+func (d *Domain) releaseHeld(old *Record) *Record {
+	var r *Record
+	for i := range old.State {
+		if !old.State[i].Held {
+			continue
+		}
+		if r == nil {
+			r = old.clone()
+		}
+		d.release(r, i)
+	}
+	return r
 }
