state: jobs with steps, workers and queues as a replicated state machine

Cause: the users' platform submits jobs under IDs of the callers' choice, with dependent steps, gangs, occurrences and checkpoints; requests cannot express them. Change: package job holds the records and applies commands. Every assignment is checked again when it is applied: capacity, readiness, attempts, labels. Amounts of capacity move to a package of their own, so that both record types use one.

--- a/state/apply.go
+++ b/state/apply.go
@@ -3,15 +3,18 @@
 import (
 	"fmt"
 	"maps"
+
+	"github.com/primrosereach/primrosereach/state/job"
 )
 
 // Applied tells what a command changed.
 type Applied struct {
-	Rejected error     // nil if the command was performed
-	Records  []*Record // new versions of the records that changed
-	Endpoint *Endpoint // new version of the endpoint that changed, if one did
-	Assigned []TaskRef // attempts that were assigned, for Assign
-	Released []*Record // forgotten records whose tasks still reserved capacity, without that
+	Job      job.Applied // of a command of the job group
+	Rejected error       // nil if the command was performed
+	Records  []*Record   // new versions of the records that changed
+	Endpoint *Endpoint   // new version of the endpoint that changed, if one did
+	Assigned []TaskRef   // attempts that were assigned, for Assign
+	Released []*Record   // forgotten records whose tasks still reserved capacity, without that
 }
 
 // Apply performs a command at a log index or rejects it without any change.
--- a/state/command.go
+++ b/state/command.go
@@ -1,6 +1,10 @@
 package state
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
 
 // Command is one change to replicated state. Exactly one field is set. All times
 // in commands were stamped by the leader that proposed them, so that Apply gives
@@ -23,6 +27,9 @@
 	// Cell group.
 	Configure *Configure `json:"configure,omitempty"`
 	Transfer  *Transfer  `json:"transfer,omitempty"`
+
+	// Job group.
+	Job *job.Command `json:"job,omitempty"`
 }
 
 // Bootstrap is the first command of a group.
--- a/state/domain.go
+++ b/state/domain.go
@@ -223,7 +223,7 @@
 
 // idleOf returns the unused part of a team's share.
 func (d *Domain) idleOf(team string) Resources {
-	return d.shares[team].Sub(d.usage[team].Own).positive()
+	return d.shares[team].Sub(d.usage[team].Own).Positive()
 }
 
 // countIdle sums up the unused parts of all shares after these have changed.
@@ -242,9 +242,9 @@
 		d.borrowed = d.borrowed.Add(amount)
 	} else {
 		share := d.shares[r.Team]
-		d.idle = d.idle.Sub(share.Sub(u.Own).positive())
+		d.idle = d.idle.Sub(share.Sub(u.Own).Positive())
 		u.Own = u.Own.Add(amount)
-		d.idle = d.idle.Add(share.Sub(u.Own).positive())
+		d.idle = d.idle.Add(share.Sub(u.Own).Positive())
 	}
 	d.usage[r.Team] = u
 	if u == (Usage{}) {
@@ -291,7 +291,7 @@
 	}
 	var borrowed, idle Resources
 	for team := range d.shares {
-		idle = idle.Add(d.shares[team].Sub(usage[team].Own).positive())
+		idle = idle.Add(d.shares[team].Sub(usage[team].Own).Positive())
 	}
 	for _, u := range usage {
 		borrowed = borrowed.Add(u.Borrowed)
--- /dev/null
+++ b/state/job/apply.go
@@ -0,0 +1,418 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+// Applied is the effect of one command.
+type Applied struct {
+	Rejected error  // why the command changed nothing, or nil
+	Jobs     []*Job // whose tasks or phase changed
+}
+
+func rejected(format string, args ...any) Applied {
+	return Applied{Rejected: fmt.Errorf(format, args...)}
+}
+
+// Apply performs a command at a log index.
+func (s *State) Apply(index uint64, c *Command) Applied {
+	s.applied = index
+	switch {
+	case c.Configure != nil:
+		return s.configure(c.Configure)
+	case c.Submit != nil:
+		return s.submit(c.Submit)
+	case c.Cancel != nil:
+		return s.cancel(c.Cancel)
+	case c.Assign != nil:
+		return s.assign(c.Assign)
+	case c.End != nil:
+		return s.end(c.End)
+	case c.Join != nil:
+		return s.join(c.Join)
+	case c.Drain != nil:
+		return s.drain(c.Drain)
+	case c.Leave != nil:
+		return s.leave(c.Leave)
+	case c.Forget != nil:
+		return s.forget(c.Forget)
+	case c.Wave != nil:
+		return s.wave(c.Wave)
+	case c.Serviced != nil:
+		return s.serviced(c.Serviced)
+	}
+	return Applied{}
+}
+
+// configure puts a configuration in force unless a higher or equal one is.
+func (s *State) configure(c *Configuration) Applied {
+	if c.Version <= s.config.Version {
+		return rejected("version %d is not above version %d in force", c.Version, s.config.Version)
+	}
+	for _, q := range s.config.Queues {
+		s.retired[q.Name] = q
+	}
+	for _, q := range c.Queues {
+		delete(s.retired, q.Name)
+	}
+	s.config = *c
+	return Applied{}
+}
+
+// submit stores a job. A resend changes nothing.
+func (s *State) submit(c *Submit) Applied {
+	if s.jobs[c.ID] != nil {
+		return rejected("job %s was accepted before", c.ID)
+	}
+	if s.config.queue(c.Queue) == nil {
+		return rejected("queue %s is not configured", c.Queue)
+	}
+	j := &Job{Submission: c.Submission, Queue: c.Queue, AcceptedMS: c.AtMS, Phase: Queued}
+	s.jobs[c.ID] = j
+	return Applied{Jobs: []*Job{j}}
+}
+
+func (s *State) cancel(c *Cancel) Applied {
+	j := s.jobs[c.Job]
+	if j == nil {
+		return rejected("job %s is not known", c.Job)
+	}
+	if j.Phase.Final() {
+		return rejected("job %s is %s", c.Job, j.Phase)
+	}
+	s.finish(j, Cancelled, c.AtMS, "")
+	return Applied{Jobs: []*Job{j}}
+}
+
+// finish makes a phase final. Tasks that workers hold stay until their ends are known.
+func (s *State) finish(j *Job, p Phase, atMS int64, reason string) {
+	j.Phase, j.FinalMS, j.Reason = p, atMS, reason
+	j.trim()
+}
+
+// trim drops what a final job no longer needs, to keep its record small.
+func (j *Job) trim() {
+	if j.Phase.Final() && j.Held == 0 {
+		j.Occurrences, j.Finished, j.Steps, j.Spec = nil, nil, nil, ""
+	}
+}
+
+// assign binds tasks to workers after checking that every precondition still holds.
+func (s *State) assign(c *Assign) Applied {
+	j := s.jobs[c.Job]
+	if j == nil || j.Phase.Final() {
+		return rejected("assign %s: the job is not open", c.StepRef)
+	}
+	if err := s.checkAssign(j, c); err != nil {
+		return Applied{Rejected: err}
+	}
+	o, need := j.occurrence(c.Occurrence), j.Steps[c.Step].Reserved()
+	for _, it := range c.Items {
+		t := &o.Steps[c.Step][it.Index]
+		t.Status, t.Run, t.Worker = TaskAssigned, it.Run, it.Worker
+		w := s.workers[it.Worker]
+		w.Reserved = w.Reserved.Add(need)
+		w.Tasks[TaskRef{c.StepRef, it.Index}] = it.Run
+		j.Held++
+	}
+	j.Phase = Running
+	return Applied{Jobs: []*Job{j}}
+}
+
+func (s *State) checkAssign(j *Job, c *Assign) error {
+	if c.Step < 0 || c.Step >= len(j.Steps) || c.Occurrence < 0 || c.Occurrence >= j.Submission.Occurrences() || !j.StepReady(c.StepRef) {
+		return fmt.Errorf("assign %s: the step is not ready", c.StepRef)
+	}
+	st := &j.Steps[c.Step]
+	if st.Gang && len(c.Items) != st.Count {
+		return fmt.Errorf("assign %s: %d of the %d tasks of a gang", c.StepRef, len(c.Items), st.Count)
+	}
+	attempts, pool := s.QueueOf(j).MaxAttempts, s.QueueOf(j).Pool
+	planned := map[string]resource.Amount{}
+	perWorker := map[string]int{}
+	for _, it := range c.Items {
+		if it.Index < 0 || it.Index >= st.Count {
+			return fmt.Errorf("assign %s: no task %d", c.StepRef, it.Index)
+		}
+		var t Task
+		if p := j.Task(TaskRef{c.StepRef, it.Index}); p != nil {
+			t = *p
+		}
+		w := s.workers[it.Worker]
+		switch {
+		case t.Status != TaskWaiting || t.Worker != "" || it.Run <= t.Run:
+			return fmt.Errorf("assign %s: task %d is not waiting or run %d is not new", c.StepRef, it.Index, it.Run)
+		case !st.Service && attempts > 0 && t.Failures >= attempts:
+			return fmt.Errorf("assign %s: task %d has no attempt left", c.StepRef, it.Index)
+		case w == nil || w.BornMS != it.BornMS || w.Draining || w.Pool != pool || !w.HasLabel(st.RequiredLabel):
+			return fmt.Errorf("assign %s: worker %s takes no such task", c.StepRef, it.Worker)
+		}
+		planned[w.ID] = planned[w.ID].Add(st.Reserved())
+		if !planned[w.ID].FitsIn(w.Free()) {
+			return fmt.Errorf("assign %s: worker %s has no room", c.StepRef, it.Worker)
+		}
+		perWorker[w.ID]++
+		if st.MaxPerWorker > 0 && perWorker[w.ID]+j.heldOn(c.StepRef, w.ID) > st.MaxPerWorker {
+			return fmt.Errorf("assign %s: worker %s would run more than %d tasks of the step", c.StepRef, it.Worker, st.MaxPerWorker)
+		}
+	}
+	return nil
+}
+
+// heldOn counts the tasks of a step that a worker holds.
+func (j *Job) heldOn(r StepRef, worker string) int {
+	o := j.Occurrences[r.Occurrence]
+	if o == nil {
+		return 0
+	}
+	n := 0
+	for i := range o.Steps[r.Step] {
+		if o.Steps[r.Step][i].Worker == worker {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) end(c *End) Applied {
+	w := s.workers[c.ID]
+	if w == nil || w.BornMS != c.BornMS {
+		return rejected("ends of worker %s: this life of it is not known", c.ID)
+	}
+	w.Noted = max(w.Noted, c.Noted)
+	var touched []*Job
+	for i := range c.Runs {
+		if j := s.endRun(w, &c.Runs[i], c.AtMS); j != nil && !slices.Contains(touched, j) {
+			touched = append(touched, j)
+		}
+	}
+	return Applied{Jobs: touched}
+}
+
+// endRun notes the end of a run and returns the job if it changed.
+func (s *State) endRun(w *Worker, e *RunEnd, atMS int64) *Job {
+	j := s.jobs[e.Job]
+	if run, ok := w.Tasks[e.TaskRef]; !ok || run != e.Run || j == nil {
+		return nil
+	}
+	t := j.Task(e.TaskRef)
+	st := &j.Steps[e.Step]
+	delete(w.Tasks, e.TaskRef)
+	w.Reserved = w.Reserved.Sub(st.Reserved())
+	t.Worker = ""
+	j.Held--
+	if e.Checkpoint != "" {
+		s.saveCheckpoint(j, e)
+	}
+	if t.Status == TaskAssigned {
+		t.Status = TaskWaiting
+		switch {
+		case e.Kind == EndDone && !st.Service:
+			s.taskDone(j, e.TaskRef, atMS)
+		case e.Kind == EndFailed && !st.Service:
+			s.taskFailed(j, e.TaskRef, atMS)
+		}
+	}
+	if j.Phase.Final() {
+		j.trim()
+	}
+	return j
+}
+
+// saveCheckpoint keeps a checkpoint. That of any member is valid for the whole gang,
+// and all members must start from the same one.
+func (s *State) saveCheckpoint(j *Job, e *RunEnd) {
+	o := j.Occurrences[e.Occurrence]
+	if !j.Steps[e.Step].Gang {
+		o.Steps[e.Step][e.Index].Checkpoint = e.Checkpoint
+		return
+	}
+	for i := range o.Steps[e.Step] {
+		o.Steps[e.Step][i].Checkpoint = e.Checkpoint
+	}
+}
+
+// taskDone completes a task. The members of a gang complete together, so the first
+// end stands for all of them.
+func (s *State) taskDone(j *Job, r TaskRef, atMS int64) {
+	o := j.Occurrences[r.Occurrence]
+	tasks := o.Steps[r.Step]
+	if j.Steps[r.Step].Gang {
+		for i := range tasks {
+			tasks[i].Status = TaskDone
+		}
+		o.Open[r.Step] = 0
+	} else {
+		tasks[r.Index].Status = TaskDone
+		o.Open[r.Step]--
+	}
+	for _, open := range o.Open {
+		if open > 0 {
+			return
+		}
+	}
+	if j.Finished == nil {
+		j.Finished = map[int]bool{}
+	}
+	j.Finished[r.Occurrence] = true
+	if len(j.Finished) == j.Submission.Occurrences() && !j.Phase.Final() {
+		s.finish(j, Completed, atMS, "")
+	}
+}
+
+// taskFailed counts a failed attempt. A gang has its attempts in common.
+func (s *State) taskFailed(j *Job, r TaskRef, atMS int64) {
+	tasks := j.Occurrences[r.Occurrence].Steps[r.Step]
+	if j.Steps[r.Step].Gang {
+		run := tasks[r.Index].Run
+		for i := range tasks {
+			if i == r.Index || tasks[i].Run == run {
+				tasks[i].Failures++
+			}
+		}
+	} else {
+		tasks[r.Index].Failures++
+	}
+	if n := s.QueueOf(j).MaxAttempts; n > 0 && tasks[r.Index].Failures >= n && !j.Phase.Final() {
+		s.finish(j, Failed, atMS, fmt.Sprintf("task %s failed %d times", r, tasks[r.Index].Failures))
+	}
+}
+
+// join adds a worker. An earlier life of it, or of another worker at its address, has
+// ended with everything that ran there.
+func (s *State) join(c *Worker) Applied {
+	var touched []*Job
+	for _, w := range s.Workers() {
+		if w.ID != c.ID && w.Address != c.Address {
+			continue
+		}
+		if w.BornMS >= c.BornMS {
+			return rejected("worker %s: a later life of it, or of its address, is known", c.ID)
+		}
+		touched = append(touched, s.endAll(w, EndLapsed)...)
+		delete(s.workers, w.ID)
+	}
+	w := *c
+	w.Reserved, w.Noted, w.Tasks = resource.Amount{}, 0, map[TaskRef]int{}
+	s.workers[w.ID] = &w
+	return Applied{Jobs: touched}
+}
+
+func (s *State) drain(c *Incarnation) Applied {
+	w := s.workers[c.ID]
+	if w == nil || w.BornMS != c.BornMS {
+		return rejected("worker %s: this life of it is not known", c.ID)
+	}
+	w.Draining = true
+	return Applied{}
+}
+
+func (s *State) leave(c *Leave) Applied {
+	w := s.workers[c.ID]
+	if w == nil || w.BornMS != c.BornMS {
+		return rejected("worker %s: this life of it is not known", c.ID)
+	}
+	touched := s.endAll(w, EndLapsed)
+	if !c.Keep {
+		delete(s.workers, w.ID)
+	}
+	return Applied{Jobs: touched}
+}
+
+// endAll ends every run on a worker.
+func (s *State) endAll(w *Worker, kind EndKind) []*Job {
+	var touched []*Job
+	for _, r := range w.SortedTasks() {
+		e := RunEnd{TaskRef: r, Run: w.Tasks[r], Kind: kind}
+		if j := s.endRun(w, &e, 0); j != nil && !slices.Contains(touched, j) {
+			touched = append(touched, j)
+		}
+	}
+	return touched
+}
+
+// SortedTasks returns the tasks that a worker may hold, in a fixed order.
+func (w *Worker) SortedTasks() []TaskRef {
+	out := make([]TaskRef, 0, len(w.Tasks))
+	for r := range w.Tasks {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, compareTasks)
+	return out
+}
+
+func compareTasks(a, b TaskRef) int {
+	switch {
+	case a.Job != b.Job:
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	case a.Occurrence != b.Occurrence:
+		return a.Occurrence - b.Occurrence
+	case a.Step != b.Step:
+		return a.Step - b.Step
+	}
+	return a.Index - b.Index
+}
+
+func (s *State) forget(c *Forget) Applied {
+	for _, id := range c.Jobs {
+		if j := s.jobs[id]; j != nil && j.Phase.Final() && j.Held == 0 {
+			delete(s.jobs, id)
+		}
+	}
+	return Applied{}
+}
+
+// wave stores a maintenance request. A resend changes nothing.
+func (s *State) wave(c *Wave) Applied {
+	if s.waves[c.Number] != nil {
+		return rejected("wave %d was accepted before", c.Number)
+	}
+	w := *c
+	w.Done = nil
+	s.waves[c.Number] = &w
+	return Applied{}
+}
+
+func (s *State) serviced(c *Serviced) Applied {
+	w := s.waves[c.Wave]
+	if w == nil || slices.Contains(w.Done, c.VM) || !slices.Contains(w.VMs, c.VM) {
+		return rejected("wave %d does not wait for VM %s", c.Wave, c.VM)
+	}
+	w.Done = append(w.Done, c.VM)
+	return Applied{}
+}
+
+// Check returns the first violated invariant.
+func (s *State) Check() error {
+	reserved := map[string]resource.Amount{}
+	held := map[string]int{}
+	for _, j := range s.jobs {
+		n := 0
+		j.eachHeld(func(r TaskRef, t *Task) {
+			n++
+			w := s.workers[t.Worker]
+			if w != nil && w.Tasks[r] == t.Run {
+				reserved[w.ID] = reserved[w.ID].Add(j.Steps[r.Step].Reserved())
+				held[w.ID]++
+			}
+		})
+		if n != j.Held {
+			return fmt.Errorf("job %s: %d tasks are held, %d counted", j.ID, n, j.Held)
+		}
+	}
+	for id, w := range s.workers {
+		if reserved[id] != w.Reserved || held[id] != len(w.Tasks) {
+			return fmt.Errorf("worker %s: reserved %+v for %d tasks, counted %+v for %d", id, w.Reserved, len(w.Tasks), reserved[id], held[id])
+		}
+		if !w.Reserved.FitsIn(w.Capacity) {
+			return fmt.Errorf("worker %s: reserved %+v of %+v", id, w.Reserved, w.Capacity)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/job/command.go
@@ -0,0 +1,96 @@
+package job
+
+// Command is one change to the state. Exactly one field is set. All times in
+// commands were stamped by the leader that proposed them.
+type Command struct {
+	Configure *Configuration `json:"configure,omitempty"`
+	Submit    *Submit        `json:"submit,omitempty"`
+	Cancel    *Cancel        `json:"cancel,omitempty"`
+	Assign    *Assign        `json:"assign,omitempty"`
+	End       *End           `json:"end,omitempty"`
+	Join      *Worker        `json:"join,omitempty"`
+	Drain     *Incarnation   `json:"drain,omitempty"`
+	Leave     *Leave         `json:"leave,omitempty"`
+	Forget    *Forget        `json:"forget,omitempty"`
+	Wave      *Wave          `json:"wave,omitempty"`
+	Serviced  *Serviced      `json:"serviced,omitempty"`
+}
+
+// Submit stores a job.
+type Submit struct {
+	Submission
+	Queue string `json:"queue"`
+	AtMS  int64  `json:"at_ms"`
+}
+
+// Cancel ends a job. Its tasks that run are to be stopped.
+type Cancel struct {
+	Job  ID    `json:"job"`
+	AtMS int64 `json:"at_ms"`
+}
+
+// Assign binds tasks of one step to workers under a run number each, all of them or
+// none.
+type Assign struct {
+	StepRef
+	AtMS  int64        `json:"at_ms"`
+	Items []Assignment `json:"items"`
+}
+
+// Assignment binds one task to a worker.
+type Assignment struct {
+	Index  int    `json:"i,omitempty"`
+	Run    int    `json:"run"`
+	Worker string `json:"w"`
+	BornMS int64  `json:"born"`
+}
+
+// EndKind tells how a run ended.
+type EndKind string
+
+// How runs end. NotStarted is the only one that workers do not report: it is known
+// that the run never began and never will.
+const (
+	EndDone       EndKind = "done"
+	EndFailed     EndKind = "failed"
+	EndStopped    EndKind = "stopped"
+	EndLapsed     EndKind = "lapsed" // the worker's lease ended
+	EndBroken     EndKind = "broken" // another member of the gang ended
+	EndAlone      EndKind = "alone"  // the rest of the gang did not come
+	EndNotStarted EndKind = "not_started"
+)
+
+// RunEnd is the end of one run.
+type RunEnd struct {
+	TaskRef
+	Run        int     `json:"run"`
+	Kind       EndKind `json:"kind"`
+	Checkpoint string  `json:"checkpoint,omitempty"`
+}
+
+// End notes the ends of runs on a worker.
+type End struct {
+	Incarnation
+	AtMS  int64    `json:"at_ms"`
+	Runs  []RunEnd `json:"runs"`
+	Noted int64    `json:"noted,omitempty"` // number of the last listed end, 0 to leave it
+}
+
+// Leave removes a worker whose tasks have certainly ended, or only ends its tasks if
+// it may come back in the same life.
+type Leave struct {
+	Incarnation
+	AtMS int64 `json:"at_ms"`
+	Keep bool  `json:"keep,omitempty"` // its lease has expired; the worker may return
+}
+
+// Forget removes final jobs.
+type Forget struct {
+	Jobs []ID `json:"jobs"`
+}
+
+// Serviced notes that a VM has begun its maintenance.
+type Serviced struct {
+	Wave int    `json:"wave"`
+	VM   string `json:"vm"`
+}
--- /dev/null
+++ b/state/job/config.go
@@ -0,0 +1,100 @@
+package job
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Configuration lists the queues and pools in force. Operators number it; the highest
+// number wins.
+type Configuration struct {
+	Version  int64   `json:"version"`
+	Queues   []Queue `json:"queues,omitempty"`
+	Pools    []Pool  `json:"pools,omitempty"`
+	Document []byte  `json:"document,omitempty"` // as the operator sent it, for reading it back unchanged
+}
+
+// Queue accepts jobs and names the pool whose workers run them.
+type Queue struct {
+	Name            string  `json:"name"`
+	Host            string  `json:"host"`
+	Prefix          string  `json:"prefix"` // of the path
+	Pool            string  `json:"pool"`
+	Priority        int     `json:"priority"`     // 0 comes first
+	MaxAttempts     int     `json:"max_attempts"` // runs of a task that may fail
+	TimeoutMS       int64   `json:"timeout_ms"`   // of one call
+	Stretch         float64 `json:"stretch"`      // objective of a job in multiples of its critical path
+	TargetLatencyMS int64   `json:"target_latency_ms"`
+	Advice          *Advice `json:"advice,omitempty"` // nil if every worker of the pool may run the queue's steps
+}
+
+// Advice describes the calls that tell which workers may run a step.
+type Advice struct {
+	DecideMS  float64 `json:"decide_ms"`   // of one call
+	EachMS    float64 `json:"each_ms"`     // for each worker named in a call
+	ValidMS   int64   `json:"valid_ms"`    // of a ticket
+	MaxWorker int     `json:"max_workers"` // that a call may name
+}
+
+// Pool is a set of workers.
+type Pool struct {
+	Name             string `json:"name"`
+	EnforcesCapacity bool   `json:"enforces_capacity,omitempty"` // its workers reject what does not fit
+	HealthPath       string `json:"health_path,omitempty"`
+	Spare            bool   `json:"spare,omitempty"` // its VMs are off
+}
+
+// Validate returns the first fault of a configuration.
+func (c *Configuration) Validate() error {
+	pools := map[string]bool{}
+	for _, p := range c.Pools {
+		if p.Name == "" || pools[p.Name] {
+			return fmt.Errorf("pool %q: the name is empty or not unique", p.Name)
+		}
+		pools[p.Name] = true
+	}
+	names, places := map[string]bool{}, map[[2]string]bool{}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		place := [2]string{q.Host, q.Prefix}
+		switch {
+		case q.Name == "" || names[q.Name]:
+			return fmt.Errorf("queue %q: the name is empty or not unique", q.Name)
+		case !pools[q.Pool]:
+			return fmt.Errorf("queue %s: unknown pool %q", q.Name, q.Pool)
+		case q.Host == "" || q.Prefix == "":
+			return fmt.Errorf("queue %s: host or prefix is missing", q.Name)
+		case places[place]:
+			return fmt.Errorf("queue %s: another queue has host %s and prefix %s", q.Name, q.Host, q.Prefix)
+		case q.TimeoutMS <= 0:
+			return fmt.Errorf("queue %s: the timeout must be positive", q.Name)
+		}
+		names[q.Name], places[place] = true, true
+	}
+	return nil
+}
+
+// Resolve returns the queue of a path, by host and longest prefix, and the rest of
+// the path. The queue is nil if there is none.
+func (c *Configuration) Resolve(host, path string) (q *Queue, rest string) {
+	for i := range c.Queues {
+		x := &c.Queues[i]
+		if x.Host == host && strings.HasPrefix(path, x.Prefix) && (q == nil || len(x.Prefix) > len(q.Prefix)) {
+			q = x
+		}
+	}
+	if q == nil {
+		return nil, ""
+	}
+	return q, path[len(q.Prefix):]
+}
+
+// queue returns the named queue, or nil.
+func (c *Configuration) queue(name string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/state/job/job.go
@@ -0,0 +1,197 @@
+package job
+
+import (
+	"fmt"
+
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+// ID identifies a job. Callers choose it.
+type ID string
+
+// Submission is what a caller hands in.
+type Submission struct {
+	ID         ID     `json:"id"`
+	Spec       string `json:"spec,omitempty"` // handed to workers unchanged
+	Steps      []Step `json:"steps"`
+	Times      int    `json:"times,omitempty"`       // occurrences of a scheduled job, 0 for one that runs at once
+	FirstMS    int64  `json:"first_ms,omitempty"`    // due time of occurrence 0, Unix milliseconds
+	IntervalMS int64  `json:"interval_ms,omitempty"` // between occurrences
+}
+
+// Occurrences returns how many times the steps run.
+func (s *Submission) Occurrences() int { return max(1, s.Times) }
+
+// DueMS returns when an occurrence may start, in Unix milliseconds; 0 means at once.
+func (s *Submission) DueMS(occurrence int) int64 {
+	if s.Times == 0 {
+		return 0
+	}
+	return s.FirstMS + int64(occurrence)*s.IntervalMS
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count         int             `json:"count"`
+	PerTask       resource.Amount `json:"per_task"`
+	EstimateMS    int64           `json:"estimate_ms,omitempty"` // of one task, as its caller declares it
+	After         []int           `json:"after,omitempty"`       // steps that must be done first
+	Checkpointing bool            `json:"checkpointing,omitempty"`
+	Gang          bool            `json:"gang,omitempty"`           // all tasks start together or none
+	RackSensitive bool            `json:"rack_sensitive,omitempty"` // slower on more than one rack
+	Speculative   bool            `json:"speculative,omitempty"`    // copies of a task may run at the same time
+	Service       bool            `json:"service,omitempty"`        // runs until cancelled, is restarted however it ends
+	Filler        bool            `json:"filler,omitempty"`         // uses the cores that other tasks leave idle
+	RequiredLabel string          `json:"required_label,omitempty"`
+	DataRack      string          `json:"data_rack,omitempty"`      // slower on other racks
+	MaxPerWorker  int             `json:"max_per_worker,omitempty"` // 0 for no limit
+	Image         string          `json:"image,omitempty"`          // tasks of one image behave alike
+	TailTargetMS  int64           `json:"tail_target_ms,omitempty"` // of a service's own response times
+	Disruptions   int             `json:"disruptions,omitempty"`    // tasks of a service that the system may make unavailable at a time
+}
+
+// Reserved returns what a task takes of its worker's capacity. A filler uses idle
+// cores and reserves none.
+func (s *Step) Reserved() resource.Amount {
+	r := s.PerTask
+	if s.Filler {
+		r.MilliCores = 0
+	}
+	return r
+}
+
+// Validate returns the first fault of a submission.
+func (s *Submission) Validate() error {
+	if s.ID == "" || len(s.Steps) == 0 {
+		return fmt.Errorf("job %q: the ID or the steps are missing", s.ID)
+	}
+	if s.Times < 0 || s.Times > 0 && s.IntervalMS < 0 {
+		return fmt.Errorf("job %s: times and interval must not be negative", s.ID)
+	}
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		if st.Count <= 0 || st.PerTask.IsNegative() {
+			return fmt.Errorf("job %s: step %d has no tasks or a negative size", s.ID, i)
+		}
+		for _, a := range st.After {
+			if a < 0 || a >= i {
+				return fmt.Errorf("job %s: step %d waits for step %d, which is not an earlier one", s.ID, i, a)
+			}
+		}
+	}
+	return nil
+}
+
+// StepRef identifies a step of one occurrence of a job.
+type StepRef struct {
+	Job        ID  `json:"job"`
+	Occurrence int `json:"occ,omitempty"`
+	Step       int `json:"step,omitempty"`
+}
+
+// TaskRef identifies a task.
+type TaskRef struct {
+	StepRef
+	Index int `json:"index,omitempty"`
+}
+
+// String returns the reference as it appears in logs.
+func (r StepRef) String() string { return fmt.Sprintf("%s.%d.%d", r.Job, r.Occurrence, r.Step) }
+
+// String returns the reference as it appears in logs.
+func (r TaskRef) String() string { return fmt.Sprintf("%s.%d", r.StepRef, r.Index) }
+
+// TaskStatus is the state of a task.
+type TaskStatus uint8
+
+// Task states.
+const (
+	TaskWaiting  TaskStatus = iota
+	TaskAssigned            // a worker holds it, or may hold it
+	TaskDone
+)
+
+// Task is one task of an occurrence.
+type Task struct {
+	Status     TaskStatus `json:"status,omitempty"`
+	Run        int        `json:"run,omitempty"`      // number of the latest start, rising from 1
+	Failures   int        `json:"failures,omitempty"` // runs that ended as failed
+	Worker     string     `json:"worker,omitempty"`   // that holds its capacity
+	Checkpoint string     `json:"checkpoint,omitempty"`
+}
+
+// Occurrence is one run of a job's steps.
+type Occurrence struct {
+	Steps [][]Task `json:"steps"`
+	Open  []int    `json:"open"` // tasks of each step that are not done
+}
+
+// Phase is the state of a job as its caller sees it.
+type Phase string
+
+// Phases. The last three are final.
+const (
+	Queued    Phase = "queued" // no task has started
+	Running   Phase = "running"
+	Completed Phase = "completed"
+	Failed    Phase = "failed"
+	Cancelled Phase = "cancelled"
+)
+
+// Final reports whether a phase cannot change any more.
+func (p Phase) Final() bool { return p == Completed || p == Failed || p == Cancelled }
+
+// Job is the record of a submission.
+type Job struct {
+	Submission
+	Queue       string              `json:"queue"`
+	AcceptedMS  int64               `json:"accepted_ms"` // Unix milliseconds
+	FinalMS     int64               `json:"final_ms,omitempty"`
+	Phase       Phase               `json:"phase"`
+	Reason      string              `json:"reason,omitempty"` // of phase failed
+	Occurrences map[int]*Occurrence `json:"occurrences,omitempty"`
+	Finished    map[int]bool        `json:"finished,omitempty"` // occurrences whose tasks are all done
+	Held        int                 `json:"held,omitempty"`     // tasks that a worker holds
+}
+
+// Occurrence returns an occurrence that has started, or nil.
+func (j *Job) Occurrence(k int) *Occurrence { return j.Occurrences[k] }
+
+// Task returns a task, or nil if its occurrence has not started or is finished.
+func (j *Job) Task(r TaskRef) *Task {
+	o := j.Occurrences[r.Occurrence]
+	if o == nil || r.Step < 0 || r.Step >= len(o.Steps) || r.Index < 0 || r.Index >= len(o.Steps[r.Step]) {
+		return nil
+	}
+	return &o.Steps[r.Step][r.Index]
+}
+
+// StepReady reports whether the tasks of all steps before a step are done.
+func (j *Job) StepReady(r StepRef) bool {
+	if j.Finished[r.Occurrence] {
+		return false
+	}
+	o := j.Occurrences[r.Occurrence]
+	for _, a := range j.Steps[r.Step].After {
+		if o == nil || o.Open[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (j *Job) occurrence(k int) *Occurrence {
+	if o := j.Occurrences[k]; o != nil {
+		return o
+	}
+	o := &Occurrence{}
+	for i := range j.Steps {
+		o.Steps = append(o.Steps, make([]Task, j.Steps[i].Count))
+		o.Open = append(o.Open, j.Steps[i].Count)
+	}
+	if j.Occurrences == nil {
+		j.Occurrences = map[int]*Occurrence{}
+	}
+	j.Occurrences[k] = o
+	return o
+}
--- /dev/null
+++ b/state/job/state.go
@@ -0,0 +1,167 @@
+package job
+
+import (
+	"maps"
+	"slices"
+)
+
+// State is the replicated state. It is used by one goroutine.
+type State struct {
+	applied uint64
+	config  Configuration
+	retired map[string]Queue // queues that were removed while they had jobs
+	jobs    map[ID]*Job
+	workers map[string]*Worker // by ID
+	waves   map[int]*Wave
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{retired: map[string]Queue{}, jobs: map[ID]*Job{}, workers: map[string]*Worker{}, waves: map[int]*Wave{}}
+}
+
+// Applied returns the log index of the last applied command.
+func (s *State) Applied() uint64 { return s.applied }
+
+// Configuration returns the configuration in force. The caller must not change it.
+func (s *State) Configuration() *Configuration { return &s.config }
+
+// QueueOf returns the settings of a job's queue, also after the queue was removed.
+func (s *State) QueueOf(j *Job) Queue {
+	if q := s.config.queue(j.Queue); q != nil {
+		return *q
+	}
+	return s.retired[j.Queue]
+}
+
+// Pool returns the named pool. A pool that is not configured is empty.
+func (s *State) Pool(name string) Pool {
+	for _, p := range s.config.Pools {
+		if p.Name == name {
+			return p
+		}
+	}
+	return Pool{Name: name}
+}
+
+// Job returns a job, or nil.
+func (s *State) Job(id ID) *Job { return s.jobs[id] }
+
+// Jobs calls f for every job until it returns false.
+func (s *State) Jobs(f func(*Job) bool) {
+	for _, j := range s.jobs {
+		if !f(j) {
+			return
+		}
+	}
+}
+
+// Worker returns a worker, or nil.
+func (s *State) Worker(id string) *Worker { return s.workers[id] }
+
+// Workers returns all workers, sorted by ID.
+func (s *State) Workers() []*Worker {
+	out := slices.Collect(maps.Values(s.workers))
+	slices.SortFunc(out, func(a, b *Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Wave returns a wave, or nil.
+func (s *State) Wave(number int) *Wave { return s.waves[number] }
+
+// Waves returns the waves, sorted by number.
+func (s *State) Waves() []*Wave {
+	var out []*Wave
+	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
+		out = append(out, s.waves[n])
+	}
+	return out
+}
+
+// Snapshot is the serialisable state at one log index.
+type Snapshot struct {
+	Applied uint64           `json:"applied"`
+	Config  Configuration    `json:"config"`
+	Retired map[string]Queue `json:"retired,omitempty"`
+	Jobs    []*Job           `json:"jobs,omitempty"`
+	Workers []*Worker        `json:"workers,omitempty"`
+	Waves   []*Wave          `json:"waves,omitempty"`
+}
+
+// Snapshot returns a copy of the state.
+func (s *State) Snapshot() *Snapshot {
+	out := &Snapshot{Applied: s.applied, Config: s.config, Retired: maps.Clone(s.retired)}
+	for _, j := range s.jobs {
+		out.Jobs = append(out.Jobs, j.clone())
+	}
+	for _, w := range s.Workers() {
+		c := *w
+		c.Tasks = nil
+		out.Workers = append(out.Workers, &c)
+	}
+	for _, w := range s.Waves() {
+		c := *w
+		c.Done = slices.Clone(w.Done)
+		out.Waves = append(out.Waves, &c)
+	}
+	return out
+}
+
+func (j *Job) clone() *Job {
+	c := *j
+	c.Finished = maps.Clone(j.Finished)
+	c.Occurrences = make(map[int]*Occurrence, len(j.Occurrences))
+	for k, o := range j.Occurrences {
+		n := &Occurrence{Open: slices.Clone(o.Open)}
+		for _, tasks := range o.Steps {
+			n.Steps = append(n.Steps, slices.Clone(tasks))
+		}
+		c.Occurrences[k] = n
+	}
+	return &c
+}
+
+// Restore rebuilds the state from a snapshot.
+func Restore(snap *Snapshot) *State {
+	s := New()
+	s.applied, s.config = snap.Applied, snap.Config
+	maps.Copy(s.retired, snap.Retired)
+	for _, w := range snap.Workers {
+		c := *w
+		c.Tasks = map[TaskRef]int{}
+		s.workers[w.ID] = &c
+	}
+	for _, j := range snap.Jobs {
+		c := j.clone()
+		s.jobs[c.ID] = c
+		c.eachHeld(func(r TaskRef, t *Task) {
+			if w := s.workers[t.Worker]; w != nil {
+				w.Tasks[r] = t.Run
+			}
+		})
+	}
+	for _, w := range snap.Waves {
+		c := *w
+		c.Done = slices.Clone(w.Done)
+		s.waves[w.Number] = &c
+	}
+	return s
+}
+
+// eachHeld calls f for each task whose capacity a worker still holds.
+func (j *Job) eachHeld(f func(r TaskRef, t *Task)) {
+	for k, o := range j.Occurrences {
+		for s, tasks := range o.Steps {
+			for i := range tasks {
+				if tasks[i].Worker != "" {
+					f(TaskRef{StepRef{j.ID, k, s}, i}, &tasks[i])
+				}
+			}
+		}
+	}
+}
--- a/state/log.go
+++ b/state/log.go
@@ -1,5 +1,7 @@
 package state
 
+import "github.com/primrosereach/primrosereach/state/job"
+
 // Member is one replica of a group.
 type Member struct {
 	Name        string `json:"name"`        // of the process, from its settings
@@ -41,12 +43,13 @@
 	Vote string `json:"vote,omitempty"` // member voted for in Term
 }
 
-// Snapshot is the state of a group at one log index. One of Domain and Cell is
-// set.
+// Snapshot is the state of a group at one log index. One of Domain, Cell and
+// Jobs is set.
 type Snapshot struct {
 	Index      uint64          `json:"index"`
 	Term       uint64          `json:"term"` // of the entry at Index
 	Membership Membership      `json:"membership"`
 	Domain     *DomainSnapshot `json:"domain,omitempty"`
 	Cell       *CellSnapshot   `json:"cell,omitempty"`
+	Jobs       *job.Snapshot   `json:"jobs,omitempty"`
 }
--- a/state/records.go
+++ b/state/records.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/primrosereach/primrosereach/state/resource"
 )
 
 // Class selects the scheduling policy of a request.
@@ -70,42 +72,7 @@
 }
 
 // Resources is an amount of endpoint capacity.
-type Resources struct {
-	Slots        int `json:"slots,omitempty"`        // runner slots
-	MilliCores   int `json:"milli_cores,omitempty"`  // thousandths of a core
-	MemoryMB     int `json:"memory_mb,omitempty"`    // mebibytes
-	Accelerators int `json:"accelerators,omitempty"` // whole devices
-}
-
-// Add returns r + o.
-func (r Resources) Add(o Resources) Resources {
-	return Resources{r.Slots + o.Slots, r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
-}
-
-// Sub returns r - o. Fields may become negative.
-func (r Resources) Sub(o Resources) Resources {
-	return Resources{r.Slots - o.Slots, r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
-}
-
-// Scale returns n times r.
-func (r Resources) Scale(n int) Resources {
-	return Resources{r.Slots * n, r.MilliCores * n, r.MemoryMB * n, r.Accelerators * n}
-}
-
-// FitsIn reports whether every field of r is at most that of free.
-func (r Resources) FitsIn(free Resources) bool {
-	return r.Slots <= free.Slots && r.MilliCores <= free.MilliCores && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
-}
-
-// positive returns r with 0 in place of negative fields.
-func (r Resources) positive() Resources {
-	return Resources{max(0, r.Slots), max(0, r.MilliCores), max(0, r.MemoryMB), max(0, r.Accelerators)}
-}
-
-// IsNegative reports whether any field is below zero.
-func (r Resources) IsNegative() bool {
-	return r.Slots < 0 || r.MilliCores < 0 || r.MemoryMB < 0 || r.Accelerators < 0
-}
+type Resources = resource.Amount
 
 // Request is what a caller submitted, after the defaults of its kind were filled
 // in from the configuration.
