--- /dev/null
+++ b/cmd/primrosereach/site.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/spf13/cobra"
+
+	"github.com/primrosereach/primrosereach/platform"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+	"github.com/primrosereach/primrosereach/transport/cli"
+	"github.com/primrosereach/primrosereach/transport/site"
+)
+
+// settingsVariable names the settings file of a process that the platform starts.
+const settingsVariable = "PRIMROSEREACH_NODE_FILE"
+
+func (a *app) memberCommand() *cobra.Command {
+	return a.siteCommand("member", "Run a member of the job group, on a VM with a disk", site.RunMember)
+}
+
+func (a *app) gatewayCommand() *cobra.Command {
+	return a.siteCommand("gateway", "Run a gateway, which forwards callers' jobs to the job group", site.RunGateway)
+}
+
+func (a *app) siteCommand(name, short string, run func(ctx context.Context, s *settings.Site, p site.Platform) error) *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   name + " [--settings FILE]",
+		Short: short,
+		Long:  short + ". The settings file is also taken from " + settingsVariable + ".",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := loadSiteSettings(file)
+			if err != nil {
+				return &cli.InputError{Err: err}
+			}
+			return run(cmd.Context(), s, newPlatform(s))
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "", "settings file of this process")
+	return cmd
+}
+
+func loadSiteSettings(file string) (*settings.Site, error) {
+	if file == "" {
+		file = os.Getenv(settingsVariable)
+	}
+	if file == "" {
+		return nil, errors.Errorf("no settings: give --settings or set %s", settingsVariable)
+	}
+	return settings.LoadSite(file)
+}
+
+func newPlatform(s *settings.Site) site.Platform {
+	logger := hclog.New(&hclog.LoggerOptions{Name: "platform", Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stdout})
+	return site.Platform{
+		Workers: platform.NewWorkers(logger), Advisor: platform.NewAdvisor(s.AdviceAPI), VMs: platform.NewVMs(s.VMAPI),
+		Callers: func(c *site.Client, draining func() bool) http.Handler { return platform.CallersHandler(c, draining) },
+		Control: func(c *site.Client, draining func() bool) http.Handler { return platform.ControlHandler(c, draining) },
+	}
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -23,9 +23,12 @@
 	queueLength = 1024
 	// batchSize bounds the messages of one delivery.
 	batchSize = 128
-	// deliverTimeout is well above a round trip between domains. A snapshot of the
-	// largest state takes longest.
-	deliverTimeout = 5 * time.Second
+	// deliverTimeout is well above a round trip between domains. Later messages wait
+	// for it when a connection has gone silent, so it is not much longer than an
+	// election takes.
+	deliverTimeout = time.Second
+	// snapshotTimeout leaves time for a snapshot of the largest state.
+	snapshotTimeout = 5 * time.Second
 )
 
 // Client sends to other processes.
@@ -102,6 +105,7 @@
 }
 
 func (c *Client) deliverBatch(address string, batch []replication.Message) error {
+	timeout := deliverTimeout
 	req := &peerv1.DeliverRequest{Messages: make([]*peerv1.Message, len(batch))}
 	for i := range batch {
 		m, err := protocol.EncodeMessage(&batch[i])
@@ -109,8 +113,11 @@
 			return errors.Wrap(err, "encode")
 		}
 		req.Messages[i] = m
+		if batch[i].Snapshot != nil {
+			timeout = snapshotTimeout
+		}
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, deliverTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
 	_, err := c.client(address).Deliver(ctx, c.request(req))
 	return err
--- /dev/null
+++ b/transport/site/client.go
@@ -0,0 +1,191 @@
+package site
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/protocol"
+)
+
+const (
+	// attemptTimeout bounds one attempt of a call, so that a member that is cut off
+	// costs a call a moment and not its whole time.
+	attemptTimeout = 700 * time.Millisecond
+	// electionPatience is how long a call that has not been delivered waits for a
+	// leader before it is refused. Callers have other gateways to try.
+	electionPatience = 600 * time.Millisecond
+	// attemptPause is the pause after a failed attempt.
+	attemptPause = 30 * time.Millisecond
+)
+
+// Forwarder sends operations to other processes.
+type Forwarder interface {
+	Forward(ctx context.Context, address string, op protocol.Operation) (protocol.Result, error)
+}
+
+// Client performs calls at the leader of the job group.
+type Client struct {
+	self    string // peer address of this process
+	tracker *tracker
+	peers   Forwarder
+	local   func(ctx context.Context, op protocol.Operation) protocol.Result // nil on a gateway
+	logger  hclog.Logger
+}
+
+// Ready reports whether the process is in contact with the leader.
+func (c *Client) Ready() bool { return c.tracker.ready() }
+
+// Call performs an event at the leader, whichever member that is, until ctx ends. All
+// events are idempotent, so an attempt whose outcome is not known is repeated. The
+// answer says "unavailable" or "refused" only if no attempt can have taken effect.
+func (c *Client) Call(ctx context.Context, ev jobs.Event) jobs.Answer {
+	op, err := protocol.EncodeJobEvent(ev)
+	if err != nil {
+		return jobs.Answer{Code: jobs.CodeInvalid, Message: err.Error()}
+	}
+	began := time.Now()
+	unknown := false
+	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: time.Second}
+	for {
+		a, outcome := c.attempt(ctx, op)
+		switch {
+		case outcome == answered && a.Code != jobs.CodeUnavailable && a.Code != jobs.CodeUnknown:
+			if unknown && a.Code == jobs.CodeRefused {
+				a.Code = jobs.CodeUnknown
+			}
+			return a
+		case outcome == answered:
+			last = a
+			unknown = unknown || a.Code == jobs.CodeUnknown
+		case outcome == lost:
+			unknown = true
+		}
+		patient := unknown || time.Since(began) < electionPatience
+		if outcome != redirected && (!patient || !pause(ctx, attemptPause)) || ctx.Err() != nil {
+			break
+		}
+	}
+	if unknown {
+		return jobs.Answer{Code: jobs.CodeUnknown, Message: "the leader did not answer in time"}
+	}
+	return last
+}
+
+type outcome uint8
+
+const (
+	answered    outcome = iota
+	redirected          // another member was named
+	undelivered         // nothing was done
+	lost                // it is not known whether anything was done
+)
+
+// attempt performs an operation once.
+func (c *Client) attempt(ctx context.Context, op protocol.Operation) (jobs.Answer, outcome) {
+	target := c.tracker.view.Load().target
+	if target == "" {
+		return jobs.Answer{}, undelivered
+	}
+	res, err := c.forward(ctx, target, op)
+	switch {
+	case err != nil:
+		c.tracker.failed(target)
+		c.logger.Info("a call was not answered", "step", string(op.Name), "peer", target, "error", err.Error())
+		if isDialError(err) {
+			return jobs.Answer{}, undelivered
+		}
+		return jobs.Answer{}, lost
+	case res.RedirectAddress != "":
+		c.tracker.redirected(target, res.RedirectAddress)
+		res, err = c.forward(ctx, res.RedirectAddress, op)
+		if err != nil {
+			return jobs.Answer{}, lost
+		}
+		if res.RedirectAddress != "" {
+			return jobs.Answer{}, undelivered
+		}
+	}
+	if res.Code != "" {
+		c.tracker.notLeader(target)
+		return jobs.Answer{}, undelivered
+	}
+	a, err := protocol.DecodeJobAnswer(res)
+	if err != nil {
+		c.logger.Warn("an answer cannot be read", "step", string(op.Name), "peer", target, "error", err.Error())
+		return jobs.Answer{}, lost
+	}
+	return a, answered
+}
+
+func (c *Client) forward(ctx context.Context, target string, op protocol.Operation) (protocol.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if target == c.self && c.local != nil {
+		return c.local(ctx, op), nil
+	}
+	return c.peers.Forward(ctx, target, op)
+}
+
+// isDialError reports whether a call failed before anything was sent.
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attend tells the leader that this process forwards calls and can ask for advice.
+func (c *Client) attend(name string) func(ctx context.Context, target string) {
+	return func(ctx context.Context, target string) {
+		op, err := protocol.EncodeJobEvent(jobs.Attend{Name: name, Address: c.self})
+		if err != nil || target == "" {
+			return
+		}
+		res, err := c.forward(ctx, target, op)
+		switch {
+		case err != nil:
+			c.logger.Info("the leader was not reached", "step", "attend", "peer", target, "error", err.Error())
+			c.tracker.failed(target)
+		case res.RedirectAddress != "":
+			c.tracker.redirected(target, res.RedirectAddress)
+		case res.Code != "":
+			c.tracker.notLeader(target)
+		default:
+			a, err := protocol.DecodeJobAnswer(res)
+			if err != nil || a.Code != jobs.CodeOK {
+				c.tracker.notLeader(target)
+				return
+			}
+			c.tracker.answered(target, a.Members)
+		}
+	}
+}
+
+// newPeerTransport returns the transport for calls between processes of the site.
+func newPeerTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 32, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+}
+
+const (
+	// dialTimeout bounds a connection attempt. A VM without power does not answer.
+	dialTimeout = 400 * time.Millisecond
+	idleTimeout = 60 * time.Second
+)
--- /dev/null
+++ b/transport/site/gateway.go
@@ -0,0 +1,41 @@
+package site
+
+import (
+	"context"
+	"os"
+
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+)
+
+// RunGateway serves callers until ctx ends, then stops gracefully.
+func RunGateway(ctx context.Context, s *settings.Site, p Platform) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	x := newProcess(running, s, p, os.Stdout)
+	failed := make(chan error, 8)
+	servers, err := x.open(gatewayAPI{x}, noLoop{}, failed)
+	if err != nil {
+		return err
+	}
+	x.wg.Go(func() { x.client.tracker.run(running) })
+	x.logger.Info("serving", "step", "start", "role", "gateway", "seeds", s.Seeds, "first_start", s.FirstStart)
+	select {
+	case <-ctx.Done():
+		x.stop(servers, balancerDelay)
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// gatewayAPI performs the operations that a gateway can do for others.
+type gatewayAPI struct{ x *process }
+
+// Perform implements peer.Performer.
+func (g gatewayAPI) Perform(ctx context.Context, op protocol.Operation) protocol.Result {
+	if op.Name == protocol.OpAdvise {
+		return g.x.advise(ctx, op)
+	}
+	return protocol.ErrorResult(protocol.Error{Code: protocol.CodeUnavailable, Message: errNoGroup.Error(), Step: string(op.Name), Peer: g.x.settings.Name})
+}
--- /dev/null
+++ b/transport/site/member.go
@@ -0,0 +1,252 @@
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"os"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+	"github.com/primrosereach/primrosereach/state"
+	"github.com/primrosereach/primrosereach/state/storage"
+	"github.com/primrosereach/primrosereach/transport/control"
+	"github.com/primrosereach/primrosereach/transport/persist"
+)
+
+// member is a process that holds the state of the job group.
+type member struct {
+	*process
+	loop    *control.Loop
+	node    *coordination.Node
+	writer  *persist.Writer
+	running context.Context
+}
+
+// RunMember serves the job group until ctx ends, then hands over and stops.
+func RunMember(ctx context.Context, s *settings.Site, p Platform) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	m := &member{process: newProcess(running, s, p, os.Stdout), loop: control.NewLoop(), running: running}
+	m.client.local = m.Perform
+	store, err := m.openStore()
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 8)
+	servers, err := m.open(m, m.loop, failed)
+	if err != nil {
+		return errors.Join(err, store.Close())
+	}
+	m.wg.Go(func() { m.writer.Run(running) })
+	m.wg.Go(func() { m.loop.Run(running, m.node, m) })
+	m.wg.Go(func() { m.client.tracker.run(running) })
+	m.logger.Info("serving", "step", "start", "role", "member", "seeds", s.Seeds, "first_start", s.FirstStart, "incarnation", store.Incarnation())
+	select {
+	case <-ctx.Done():
+		m.loop.Send(running, coordination.Shutdown{})
+		m.stop(servers, handoverDelay)
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// handoverDelay lets another member take over before the listeners close.
+const handoverDelay = balancerDelay / 4
+
+// openStore reads the data directory and builds the node.
+func (m *member) openStore() (*storage.Store, error) {
+	s := m.settings
+	if err := os.MkdirAll(s.DataDir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "create data directory")
+	}
+	store, err := storage.Open(storage.OS(), s.DataDir, randomUint64())
+	if err != nil {
+		return nil, errors.Wrap(err, "open data directory")
+	}
+	log, rec, err := store.Group(coordination.JobGroup)
+	if err != nil {
+		return nil, errors.Wrap(err, "recover the job group")
+	}
+	for _, d := range rec.Dropped {
+		m.logger.Warn("dropped the torn tail of the log", "step", "recover", "dropped", d.String())
+	}
+	m.writer = persist.NewWriter(map[string]persist.Log{coordination.JobGroup: log}, m.loop)
+	self := state.Member{Name: s.IP, Incarnation: store.Incarnation(), Address: s.PeerAddress(), Domain: s.Domain, Disk: true}
+	m.node = coordination.New(coordination.Config{
+		Self: self, Rand: cryptoRand{},
+		Recovered: map[string]coordination.Recovered{coordination.JobGroup: {HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries}},
+		Jobs:      m.jobConfig(),
+	}, m.loop.Clock())
+	return store, nil
+}
+
+// jobConfig names the founders: the seeds of the first start of the whole deployment.
+// At any other start an empty member joins what there is.
+func (m *member) jobConfig() *coordination.JobConfig {
+	c := &coordination.JobConfig{Bounds: m.settings.JobBounds(), Address: m.settings.PeerAddressOf}
+	hosts, peers := m.settings.SeedHosts(), m.settings.SeedPeers()
+	for i, host := range hosts {
+		c.Contacts = append(c.Contacts, state.Member{Name: host, Address: peers[i]})
+		if m.settings.FirstStart && m.isSeed() {
+			c.Founders = append(c.Founders, host)
+		}
+	}
+	return c
+}
+
+func (m *member) isSeed() bool {
+	for _, host := range m.settings.SeedHosts() {
+		if host == m.settings.IP {
+			return true
+		}
+	}
+	return false
+}
+
+// Perform implements peer.Performer: it carries out an operation on this process alone.
+func (m *member) Perform(ctx context.Context, op protocol.Operation) protocol.Result {
+	if op.Name == protocol.OpAdvise {
+		return m.advise(ctx, op)
+	}
+	var decodeErr error
+	a, ok := m.loop.Call(ctx, func(t coordination.Token) coordination.Event {
+		ev, err := protocol.DecodeJobEvent(op, jobs.Token(t))
+		if err != nil {
+			decodeErr = err
+			return coordination.CallerGone{Token: t}
+		}
+		return coordination.JobEvent{Token: t, Event: ev}
+	})
+	switch {
+	case decodeErr != nil:
+		return m.fail(op, protocol.CodeInvalid, decodeErr.Error())
+	case !ok:
+		return m.answer(op, jobs.Answer{Code: jobs.CodeUnknown, Message: "no answer in time"})
+	case a.Code == coordination.CodeRedirect:
+		return protocol.Result{RedirectName: a.Redirect.Name, RedirectAddress: a.Redirect.Address}
+	case a.Job != nil:
+		return m.answer(op, *a.Job)
+	}
+	return m.fail(op, protocol.CodeUnavailable, a.Message)
+}
+
+func (m *member) answer(op protocol.Operation, a jobs.Answer) protocol.Result {
+	res, err := protocol.EncodeJobAnswer(a)
+	if err != nil {
+		return m.fail(op, protocol.CodeUnavailable, err.Error())
+	}
+	return res
+}
+
+func (m *member) fail(op protocol.Operation, code protocol.Code, message string) protocol.Result {
+	return protocol.ErrorResult(protocol.Error{Code: code, Message: message, Step: string(op.Name), Peer: m.settings.Name})
+}
+
+// Execute implements control.Executor.
+func (m *member) Execute(e coordination.Effect) {
+	switch e := e.(type) {
+	case coordination.Persist, coordination.SaveSnapshot:
+		m.writer.Enqueue(e)
+	case coordination.SendPeer:
+		m.peers.Send(e.Address, e.Message)
+	case coordination.JobEffect:
+		go m.perform(e.Effect)
+	case coordination.JobLog:
+		m.logLine(&e.Line)
+	case coordination.Log:
+		m.logger.Log(hclog.LevelFromString(e.Level), e.Message, "step", e.Step, "peer", e.Peer)
+	}
+}
+
+func (m *member) logLine(l *jobs.LogLine) {
+	level := hclog.LevelFromString(l.Level)
+	if level < m.logger.GetLevel() {
+		return
+	}
+	args := append([]any{"step", l.Step}, l.Fields...)
+	if l.Request != "" {
+		args = append(args, "request", l.Request)
+	}
+	if l.Peer != "" {
+		args = append(args, "peer", l.Peer)
+	}
+	m.logger.Log(level, l.Message, args...)
+}
+
+// perform carries out one order and reports its result. The leader has at most a few
+// orders under way for each worker and step, which bounds the goroutines.
+func (m *member) perform(e jobs.Effect) {
+	var ev jobs.Event
+	switch e := e.(type) {
+	case jobs.StartRun:
+		ev = m.platform.Workers.Start(m.running, e)
+	case jobs.StopRun:
+		ev = m.platform.Workers.Stop(m.running, e)
+	case jobs.PaceRun:
+		ev = m.platform.Workers.Pace(m.running, e)
+	case jobs.Observe:
+		ev = m.platform.Workers.Observe(m.running, e)
+	case jobs.AskAdvice:
+		ev = m.askAdvice(e)
+	case jobs.ServiceVM:
+		ev = jobs.Serviced{Service: e, Result: m.platform.VMs.Service(m.running, e, m.settings.Name)}
+	default:
+		return
+	}
+	m.loop.Send(m.running, coordination.JobEvent{Event: ev})
+}
+
+// askAdvice has a call for advice made by the process that the leader chose.
+func (m *member) askAdvice(e jobs.AskAdvice) jobs.AdviceAnswered {
+	out := jobs.AdviceAnswered{Ask: e}
+	ctx, cancel := context.WithTimeout(m.running, e.Timeout)
+	defer cancel()
+	body, err := json.Marshal(protocol.AdviceCall{Step: e.Step, Workers: e.Workers})
+	if err != nil {
+		out.Err = errors.Wrap(err, "encode")
+		return out
+	}
+	op := protocol.Operation{Name: protocol.OpAdvise, Body: body}
+	var res protocol.Result
+	if e.Agent == m.settings.PeerAddress() {
+		res = m.advise(ctx, op)
+	} else if res, err = m.peers.Forward(ctx, e.Agent, op); err != nil {
+		out.Err = err
+		return out
+	}
+	var a protocol.AdviceResult
+	if err := json.Unmarshal(res.Body, &a); err != nil {
+		out.Err = errors.Wrapf(err, "decode the answer of %s", e.Agent)
+		return out
+	}
+	if a.Error != "" {
+		out.Err = errors.New(a.Error)
+	}
+	out.Good, out.ValidMS = a.Good, a.ValidMS
+	return out
+}
+
+// cryptoRand implements replication.Rand.
+type cryptoRand struct{}
+
+// Uint64 returns a random number.
+func (cryptoRand) Uint64() uint64 { return randomUint64() }
+
+// randomUint64 returns a random number other than 0.
+func randomUint64() uint64 {
+	var b [8]byte
+	for {
+		_, _ = rand.Read(b[:]) // never fails, see crypto/rand
+		if v := binary.LittleEndian.Uint64(b[:]); v != 0 {
+			return v
+		}
+	}
+}
--- /dev/null
+++ b/transport/site/process.go
@@ -0,0 +1,189 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination"
+	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/protocol"
+	"github.com/primrosereach/primrosereach/protocol/access"
+	"github.com/primrosereach/primrosereach/protocol/settings"
+	"github.com/primrosereach/primrosereach/transport/peer"
+)
+
+// Workers carries out orders to workers. The calls return when the worker has
+// answered or the call has failed.
+type Workers interface {
+	Start(ctx context.Context, o jobs.StartRun) jobs.StartAnswered
+	Stop(ctx context.Context, o jobs.StopRun) jobs.StopAnswered
+	Pace(ctx context.Context, o jobs.PaceRun) jobs.PaceAnswered
+	Observe(ctx context.Context, o jobs.Observe) jobs.Observed
+}
+
+// Advisor asks which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, call protocol.AdviceCall) ([]jobs.Ticket, time.Duration, error)
+}
+
+// VMs takes VMs down for maintenance.
+type VMs interface {
+	Service(ctx context.Context, s jobs.ServiceVM, holder string) jobs.OrderResult
+}
+
+// Platform holds the clients for the services of a platform and builds its front ends.
+type Platform struct {
+	Workers Workers
+	Advisor Advisor
+	VMs     VMs
+	// Callers and Control return the handlers for the addresses of the settings. Draining
+	// reports that the process is about to stop and connections should move elsewhere.
+	Callers func(c *Client, draining func() bool) http.Handler
+	Control func(c *Client, draining func() bool) http.Handler
+}
+
+// process is what members and gateways have in common.
+type process struct {
+	settings *settings.Site
+	platform Platform
+	logger   hclog.Logger
+	peers    *peer.Client
+	client   *Client
+	draining atomic.Bool
+	wg       sync.WaitGroup
+}
+
+const (
+	// headerTimeout closes the connections of clients that send no request.
+	headerTimeout = 5 * time.Second
+	// clientIdleTimeout closes idle connections of callers.
+	clientIdleTimeout = 30 * time.Second
+	maxHeaderBytes    = 16 << 10
+	// balancerDelay is how long a stopping process reports "not ready" before it closes
+	// its listener: the balancer asks once a second and acts on the second answer.
+	balancerDelay = 2200 * time.Millisecond
+	// memoryShare is the share of the memory limit from which the garbage collector
+	// works harder.
+	memoryShare = 0.6
+)
+
+func newProcess(ctx context.Context, s *settings.Site, p Platform, logs *os.File) *process {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	x := &process{settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
+	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
+	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeers()), peers: x.peers, logger: x.logger}
+	x.client.tracker.attend = x.client.attend(s.Name)
+	return x
+}
+
+// advise performs a call for advice on behalf of the leader.
+func (x *process) advise(ctx context.Context, op protocol.Operation) protocol.Result {
+	var call protocol.AdviceCall
+	if err := json.Unmarshal(op.Body, &call); err != nil {
+		return protocol.ErrorResult(protocol.Error{Code: protocol.CodeInvalid, Message: err.Error(), Step: string(op.Name), Peer: x.settings.Name})
+	}
+	var out protocol.AdviceResult
+	good, valid, err := x.platform.Advisor.Advise(ctx, call)
+	out.Good, out.ValidMS = good, valid.Milliseconds()
+	if err != nil {
+		out.Error = err.Error()
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		return protocol.ErrorResult(protocol.Error{Code: protocol.CodeInvalid, Message: err.Error(), Step: string(op.Name), Peer: x.settings.Name})
+	}
+	return protocol.Result{Status: http.StatusOK, Body: b}
+}
+
+// server listens on an address and serves a handler until it is shut down.
+func (x *process) server(address string, h http.Handler, failed chan<- error) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: x.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	x.wg.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- errors.Wrapf(err, "serve %s", address)
+		}
+	})
+	return s, nil
+}
+
+// open starts the listeners of the settings.
+func (x *process) open(api peer.Performer, loop peer.Sender, failed chan<- error) (public []*http.Server, err error) {
+	add := func(address string, h http.Handler) {
+		if address == "" || h == nil || err != nil {
+			return
+		}
+		var s *http.Server
+		if s, err = x.server(address, h, failed); err == nil {
+			public = append(public, s)
+		}
+	}
+	peers := peer.NewHandler(loop, api, access.Open(), x.logger)
+	if x.settings.Listen.Callers != "" {
+		add(x.settings.Listen.Callers, x.platform.Callers(x.client, x.draining.Load))
+	}
+	if x.settings.Listen.Control != "" {
+		add(x.settings.Listen.Control, x.platform.Control(x.client, x.draining.Load))
+	}
+	add(x.settings.Listen.Ready, x.readyHandler())
+	add(x.settings.PeerAddress(), peers)
+	if x.settings.MetricsPort > 0 {
+		add(net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metricsHandler())
+	}
+	return public, err
+}
+
+// readyHandler answers the balancer's checks.
+func (x *process) readyHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if x.draining.Load() || !x.client.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// stop closes the listeners after the balancer has noticed, and waits for the calls
+// under way.
+func (x *process) stop(servers []*http.Server, delay time.Duration) {
+	x.draining.Store(true)
+	x.logger.Info("stopping", "step", "shutdown")
+	grace := time.Duration(x.settings.Bounds.ShutdownS * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Second, grace-time.Second))
+	defer cancel()
+	pause(ctx, delay)
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			x.logger.Warn("calls under way were cut off", "step", "shutdown", "error", err.Error())
+		}
+	}
+	x.logger.Info("stopped", "step", "shutdown")
+}
+
+var errNoGroup = errors.New("a gateway is not a member of the job group")
+
+// noLoop refuses replication messages on a gateway.
+type noLoop struct{}
+
+// Send implements peer.Sender.
+func (noLoop) Send(context.Context, coordination.Event) bool { return false }
