site: reload settings on SIGHUP; tests of the job state

Change: SIGHUP, and lost contact to the group, read the settings again; new seeds reach the router and a member that is not admitted yet. The job state has its tests.

--- a/cmd/primrosereach/site.go
+++ b/cmd/primrosereach/site.go
@@ -26,7 +26,7 @@
 	return a.siteCommand("gateway", "Run a gateway, which forwards callers' jobs to the job group", site.RunGateway)
 }
 
-func (a *app) siteCommand(name, short string, run func(ctx context.Context, s *settings.Site, p site.Platform) error) *cobra.Command {
+func (a *app) siteCommand(name, short string, run func(context.Context, func() (*settings.Site, error), func(*settings.Site) site.Platform) error) *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
 		Use:   name + " [--settings FILE]",
@@ -34,11 +34,14 @@
 		Long:  short + ". The settings file is also taken from " + settingsVariable + ".",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := loadSiteSettings(file)
-			if err != nil {
-				return &cli.InputError{Err: err}
+			load := func() (*settings.Site, error) {
+				s, err := loadSiteSettings(file)
+				if err != nil {
+					return nil, &cli.InputError{Err: err}
+				}
+				return s, nil
 			}
-			return run(cmd.Context(), s, newPlatform(s))
+			return run(cmd.Context(), load, newPlatform)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "", "settings file of this process")
--- a/coordination/jobgroup.go
+++ b/coordination/jobgroup.go
@@ -27,6 +27,9 @@
 		Event jobs.Event
 	}
 
+	// ContactsChanged replaces the processes that a node asks to admit it.
+	ContactsChanged struct{ Contacts []state.Member }
+
 	// JobEffect is an effect of the leader of the job group.
 	JobEffect struct{ Effect jobs.Effect }
 
@@ -34,9 +37,10 @@
 	JobLog struct{ Line jobs.LogLine }
 )
 
-func (JobEvent) event()   {}
-func (JobEffect) effect() {}
-func (JobLog) effect()    {}
+func (JobEvent) event()        {}
+func (ContactsChanged) event() {}
+func (JobEffect) effect()      {}
+func (JobLog) effect()         {}
 
 // hostJobGroup makes the node a member of the job group only.
 func (n *Node) hostJobGroup() {
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -157,6 +157,10 @@
 		n.drainEndpoint(e)
 	case ReadStatus:
 		n.emit(Reply{Token: e.Token, Answer: Answer{Code: CodeOK, Status: n.status(e.Brief)}})
+	case ContactsChanged:
+		for _, r := range n.hosted {
+			r.raft.SetContacts(e.Contacts)
+		}
 	case JobEvent:
 		n.jobEvent(e)
 	case Shutdown:
--- a/coordination/replication/bootstrap.go
+++ b/coordination/replication/bootstrap.go
@@ -34,6 +34,9 @@
 	return !g.wasVoter()
 }
 
+// SetContacts replaces the processes to ask for admission.
+func (g *Group) SetContacts(contacts []state.Member) { g.cfg.Contacts = contacts }
+
 func (g *Group) sendJoins() {
 	g.joinAt = g.now + joinInterval
 	learning := g.membership() != nil && !g.isVoter() && g.leader != "" && g.hearsLeader()
--- /dev/null
+++ b/state/job/state_test.go
@@ -0,0 +1,292 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+const testQueue = "q"
+
+func configured(t *testing.T, attempts int) *State {
+	t.Helper()
+	s := New()
+	apply(t, s, &Command{Configure: &Configuration{
+		Version: 1,
+		Queues:  []Queue{{Name: testQueue, Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: attempts, TimeoutMS: 1000}},
+		Pools:   []Pool{{Name: "p"}},
+	}})
+	for i := range 3 {
+		apply(t, s, &Command{Join: &Worker{
+			Incarnation: Incarnation{ID: fmt.Sprint("w", i), BornMS: 1}, Address: fmt.Sprint("10.0.0.", i, ":80"), Pool: "p",
+			Capacity: resource.Amount{MilliCores: 4000, MemoryMB: 1000},
+		}})
+	}
+	return s
+}
+
+var index uint64
+
+func apply(t *testing.T, s *State, c *Command) Applied {
+	t.Helper()
+	index++
+	a := s.Apply(index, c)
+	if err := s.Check(); err != nil {
+		t.Fatalf("%+v: %v", c, err)
+	}
+	return a
+}
+
+func submit(t *testing.T, s *State, id ID, steps ...Step) {
+	t.Helper()
+	if a := apply(t, s, &Command{Submit: &Submit{Submission: Submission{ID: id, Steps: steps}, Queue: testQueue}}); a.Rejected != nil {
+		t.Fatal(a.Rejected)
+	}
+}
+
+func small(count int) Step {
+	return Step{Count: count, PerTask: resource.Amount{MilliCores: 1000, MemoryMB: 100}}
+}
+
+func assign(t *testing.T, s *State, id ID, step int, items ...Assignment) error {
+	t.Helper()
+	return apply(t, s, &Command{Assign: &Assign{StepRef: StepRef{Job: id, Step: step}, Items: items}}).Rejected
+}
+
+func end(t *testing.T, s *State, worker string, id ID, step, i, run int, kind EndKind) {
+	t.Helper()
+	apply(t, s, &Command{End: &End{Incarnation: Incarnation{worker, 1}, Runs: []RunEnd{{
+		TaskRef: TaskRef{StepRef{Job: id, Step: step}, i}, Run: run, Kind: kind,
+	}}}})
+}
+
+func on(worker string, i, run int) Assignment {
+	return Assignment{Index: i, Run: run, Worker: worker, BornMS: 1}
+}
+
+// Guards against assignments that break a rule although the leader's view was out of
+// date when it proposed them.
+func TestAssignmentsAreCheckedWhenApplied(t *testing.T) {
+	s := configured(t, 2)
+	big := Step{Count: 2, PerTask: resource.Amount{MilliCores: 3000}, MaxPerWorker: 1}
+	submit(t, s, "a", big, Step{Count: 1, After: []int{0}, PerTask: resource.Amount{MilliCores: 1}})
+	submit(t, s, "label", Step{Count: 1, RequiredLabel: "gold"})
+	submit(t, s, "gang", Step{Count: 2, Gang: true})
+	for name, err := range map[string]error{
+		"over capacity":     assign(t, s, "a", 0, on("w0", 0, 1), on("w0", 1, 1)),
+		"step not ready":    assign(t, s, "a", 1, on("w0", 0, 1)),
+		"label missing":     assign(t, s, "label", 0, on("w0", 0, 1)),
+		"part of a gang":    assign(t, s, "gang", 0, on("w0", 0, 1)),
+		"earlier life":      assign(t, s, "a", 0, Assignment{Index: 0, Run: 1, Worker: "w0", BornMS: 0}),
+		"unknown worker":    assign(t, s, "a", 0, on("w9", 0, 1)),
+		"run number 0":      assign(t, s, "a", 0, on("w0", 0, 0)),
+		"task out of range": assign(t, s, "a", 0, on("w0", 7, 1)),
+	} {
+		if err == nil {
+			t.Errorf("%s: the assignment was applied", name)
+		}
+	}
+	if err := assign(t, s, "a", 0, on("w0", 0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if err := assign(t, s, "a", 0, on("w1", 0, 2)); err == nil {
+		t.Error("a task that runs was assigned again")
+	}
+	apply(t, s, &Command{Drain: &Incarnation{"w2", 1}})
+	if err := assign(t, s, "a", 0, on("w2", 1, 1)); err == nil {
+		t.Error("a draining worker got a task")
+	}
+}
+
+// Guards against a job that is completed while a task is open, and against a worker
+// whose capacity is freed before its end is known.
+func TestGangCompletesTogetherAndHoldsCapacity(t *testing.T) {
+	s := configured(t, 2)
+	gang := small(2)
+	gang.Gang = true
+	submit(t, s, "g", gang, Step{Count: 1, After: []int{0}})
+	if err := assign(t, s, "g", 0, on("w0", 0, 1), on("w1", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	end(t, s, "w0", "g", 0, 0, 1, EndDone)
+	if got := s.Worker("w1").Reserved.MilliCores; got != 1000 {
+		t.Errorf("w1 reserves %d while its member's end is not listed", got)
+	}
+	if !s.Job("g").StepReady(StepRef{Job: "g", Step: 1}) {
+		t.Error("one end of a gang stands for all")
+	}
+	end(t, s, "w1", "g", 0, 1, 1, EndDone)
+	if err := assign(t, s, "g", 1, on("w2", 0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	end(t, s, "w2", "g", 1, 0, 1, EndDone)
+	if p := s.Job("g").Phase; p != Completed {
+		t.Errorf("phase %s", p)
+	}
+}
+
+// Guards against a task that gets more attempts than its queue allows, and against one
+// that loses attempts when its worker was lost.
+func TestOnlyFailedEndsUseAttempts(t *testing.T) {
+	s := configured(t, 2)
+	submit(t, s, "f", small(1))
+	run := 0
+	for _, kind := range []EndKind{EndLapsed, EndFailed, EndStopped, EndNotStarted} {
+		run++
+		if err := assign(t, s, "f", 0, on("w0", 0, run)); err != nil {
+			t.Fatalf("after %d runs: %v", run-1, err)
+		}
+		end(t, s, "w0", "f", 0, 0, run, kind)
+	}
+	run++
+	if err := assign(t, s, "f", 0, on("w0", 0, run)); err != nil {
+		t.Fatal(err)
+	}
+	end(t, s, "w0", "f", 0, 0, run, EndFailed)
+	if p := s.Job("f").Phase; p != Failed {
+		t.Errorf("phase %s after two failed attempts of two", p)
+	}
+}
+
+// Guards against an end of an earlier run, or of an earlier life, that ends a later run.
+func TestOldEndsChangeNothing(t *testing.T) {
+	s := configured(t, 3)
+	submit(t, s, "o", small(1))
+	for run := 1; run <= 2; run++ {
+		if err := assign(t, s, "o", 0, on("w0", 0, run)); err != nil {
+			t.Fatal(err)
+		}
+		if run == 1 {
+			end(t, s, "w0", "o", 0, 0, 1, EndStopped)
+		}
+	}
+	end(t, s, "w0", "o", 0, 0, 1, EndDone)
+	apply(t, s, &Command{End: &End{Incarnation: Incarnation{"w0", 9}, Runs: []RunEnd{{TaskRef: TaskRef{StepRef{Job: "o"}, 0}, Run: 2, Kind: EndDone}}}})
+	if task := s.Job("o").Task(TaskRef{StepRef{Job: "o"}, 0}); task.Status != TaskAssigned || task.Run != 2 {
+		t.Errorf("task %+v", task)
+	}
+}
+
+// Guards against a late report of an earlier life that replaces the worker at its
+// address, and against tasks that outlive the life of their worker.
+func TestLaterLifeReplacesEarlierOne(t *testing.T) {
+	s := configured(t, 3)
+	submit(t, s, "l", small(1))
+	if err := assign(t, s, "l", 0, on("w0", 0, 1)); err != nil {
+		t.Fatal(err)
+	}
+	reborn := &Worker{Incarnation: Incarnation{"w0-b", 5}, Address: "10.0.0.0:80", Pool: "p"}
+	if a := apply(t, s, &Command{Join: reborn}); a.Rejected != nil || len(a.Jobs) != 1 {
+		t.Fatalf("%+v", a)
+	}
+	if task := s.Job("l").Task(TaskRef{StepRef{Job: "l"}, 0}); task.Status != TaskWaiting {
+		t.Errorf("task %+v", task)
+	}
+	late := &Worker{Incarnation: Incarnation{"w0", 1}, Address: "10.0.0.0:80", Pool: "p"}
+	if a := apply(t, s, &Command{Join: late}); a.Rejected == nil {
+		t.Error("an earlier life replaced a later one")
+	}
+}
+
+// Guards against a configuration that an older or equal version replaces.
+func TestHighestConfigurationWins(t *testing.T) {
+	s := configured(t, 1)
+	apply(t, s, &Command{Configure: &Configuration{Version: 7}})
+	for _, v := range []int64{3, 7} {
+		if a := apply(t, s, &Command{Configure: &Configuration{Version: v, Pools: []Pool{{Name: "other"}}}}); a.Rejected == nil {
+			t.Errorf("version %d replaced version 7", v)
+		}
+	}
+	if len(s.Configuration().Pools) != 0 {
+		t.Error("the content of a rejected version is in force")
+	}
+}
+
+// Guards against a replica that is restored from a snapshot and differs from the one
+// that took it, over random histories.
+func TestSnapshotKeepsEverything(t *testing.T) {
+	for seed := range uint64(30) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		s := configured(t, 2)
+		for step := range 60 {
+			randomCommand(t, rng, s, step)
+		}
+		data, err := json.Marshal(s.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var snap Snapshot
+		if err := json.Unmarshal(data, &snap); err != nil {
+			t.Fatal(err)
+		}
+		r := Restore(&snap)
+		if err := r.Check(); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		again, err := json.Marshal(r.Snapshot())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var a, b Snapshot
+		_, _ = json.Unmarshal(data, &a), json.Unmarshal(again, &b)
+		sortJobs(&a)
+		sortJobs(&b)
+		if !reflect.DeepEqual(a, b) {
+			t.Fatalf("seed %d:\n%s\n%s", seed, data, again)
+		}
+	}
+}
+
+func sortJobs(s *Snapshot) {
+	byID := map[ID]*Job{}
+	for _, j := range s.Jobs {
+		byID[j.ID] = j
+	}
+	s.Jobs = s.Jobs[:0]
+	for i := range 100 {
+		if j := byID[ID(fmt.Sprint("j", i))]; j != nil {
+			s.Jobs = append(s.Jobs, j)
+		}
+	}
+}
+
+func randomCommand(t *testing.T, rng *rand.Rand, s *State, n int) {
+	id := ID(fmt.Sprint("j", rng.IntN(10)))
+	worker := fmt.Sprint("w", rng.IntN(3))
+	switch rng.IntN(8) {
+	case 0, 1:
+		st := small(1 + rng.IntN(3))
+		st.Gang = rng.IntN(3) == 0
+		apply(t, s, &Command{Submit: &Submit{Submission: Submission{ID: id, Steps: []Step{st}}, Queue: testQueue}})
+	case 2, 3, 4:
+		j := s.Job(id)
+		if j == nil || len(j.Steps) == 0 {
+			return
+		}
+		var items []Assignment
+		for i := range j.Steps[0].Count {
+			items = append(items, on(fmt.Sprint("w", rng.IntN(3)), i, n+1))
+		}
+		apply(t, s, &Command{Assign: &Assign{StepRef: StepRef{Job: id}, Items: items}})
+	case 5:
+		w := s.Worker(worker)
+		if w == nil {
+			return
+		}
+		for _, r := range w.SortedTasks() {
+			kinds := []EndKind{EndDone, EndFailed, EndStopped, EndLapsed}
+			end(t, s, worker, r.Job, r.Step, r.Index, w.Tasks[r], kinds[rng.IntN(4)])
+			return
+		}
+	case 6:
+		apply(t, s, &Command{Cancel: &Cancel{Job: id}})
+	case 7:
+		if rng.IntN(4) == 0 {
+			apply(t, s, &Command{Leave: &Leave{Incarnation: Incarnation{worker, 1}, Keep: true}})
+		}
+	}
+}
--- a/transport/site/gateway.go
+++ b/transport/site/gateway.go
@@ -9,16 +9,21 @@
 )
 
 // RunGateway serves callers until ctx ends, then stops gracefully.
-func RunGateway(ctx context.Context, s *settings.Site, p Platform) error {
+func RunGateway(ctx context.Context, load func() (*settings.Site, error), newPlatform func(*settings.Site) Platform) error {
+	s, err := load()
+	if err != nil {
+		return err
+	}
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	x := newProcess(running, s, p, os.Stdout)
+	x := newProcess(running, s, newPlatform(s), os.Stdout)
 	failed := make(chan error, 8)
 	servers, err := x.open(gatewayAPI{x}, noLoop{}, failed)
 	if err != nil {
 		return err
 	}
 	x.wg.Go(func() { x.client.tracker.run(running) })
+	x.wg.Go(func() { x.followSettings(running, load, nil) })
 	x.logger.Info("serving", "step", "start", "role", "gateway", "seeds", s.Seeds, "first_start", s.FirstStart)
 	select {
 	case <-ctx.Done():
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -30,10 +30,14 @@
 }
 
 // RunMember serves the job group until ctx ends, then hands over and stops.
-func RunMember(ctx context.Context, s *settings.Site, p Platform) error {
+func RunMember(ctx context.Context, load func() (*settings.Site, error), newPlatform func(*settings.Site) Platform) error {
+	s, err := load()
+	if err != nil {
+		return err
+	}
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	m := &member{process: newProcess(running, s, p, os.Stdout), loop: control.NewLoop(), running: running}
+	m := &member{process: newProcess(running, s, newPlatform(s), os.Stdout), loop: control.NewLoop(), running: running}
 	m.client.local = m.Perform
 	store, err := m.openStore()
 	if err != nil {
@@ -47,6 +51,11 @@
 	m.wg.Go(func() { m.writer.Run(running) })
 	m.wg.Go(func() { m.loop.Run(running, m.node, m) })
 	m.wg.Go(func() { m.client.tracker.run(running) })
+	m.wg.Go(func() {
+		m.followSettings(running, load, func(s *settings.Site) {
+			m.loop.Send(running, coordination.ContactsChanged{Contacts: contacts(s)})
+		})
+	})
 	m.logger.Info("serving", "step", "start", "role", "member", "seeds", s.Seeds, "first_start", s.FirstStart, "incarnation", store.Incarnation())
 	select {
 	case <-ctx.Done():
@@ -92,16 +101,22 @@
 // At any other start an empty member joins what there is.
 func (m *member) jobConfig() *coordination.JobConfig {
 	c := &coordination.JobConfig{Bounds: m.settings.JobBounds(), Address: m.settings.PeerAddressOf}
-	hosts, peers := m.settings.SeedHosts(), m.settings.SeedPeers()
-	for i, host := range hosts {
-		c.Contacts = append(c.Contacts, state.Member{Name: host, Address: peers[i]})
-		if m.settings.FirstStart && m.isSeed() {
-			c.Founders = append(c.Founders, host)
-		}
+	c.Contacts = contacts(m.settings)
+	if m.settings.FirstStart && m.isSeed() {
+		c.Founders = m.settings.SeedHosts()
 	}
 	return c
 }
 
+// contacts returns the seeds as members to ask for admission.
+func contacts(s *settings.Site) []state.Member {
+	var out []state.Member
+	for _, host := range s.SeedHosts() {
+		out = append(out, state.Member{Name: host, Address: s.PeerAddressOf(host)})
+	}
+	return out
+}
+
 func (m *member) isSeed() bool {
 	for _, host := range m.settings.SeedHosts() {
 		if host == m.settings.IP {
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -61,6 +64,7 @@
 	peers    *peer.Client
 	client   *Client
 	draining atomic.Bool
+	hangup   chan os.Signal // the settings may have changed
 	wg       sync.WaitGroup
 }
 
@@ -82,7 +86,9 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	}
-	x := &process{settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	x := &process{hangup: hangup, settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
 	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
 	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeers()), peers: x.peers, logger: x.logger}
 	x.client.tracker.attend = x.client.attend(s.Name)
@@ -108,6 +114,45 @@
 	return protocol.Result{Status: http.StatusOK, Body: b}
 }
 
+// reloadInterval is the period in which a process without contact to the group reads
+// its settings again: they may name other seeds, and no signal may have told it.
+const reloadInterval = 2 * time.Second
+
+// followSettings applies changes of the settings file until ctx ends.
+func (x *process) followSettings(ctx context.Context, load func() (*settings.Site, error), changed func(s *settings.Site)) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	seeds := x.settings.Seeds
+	for {
+		cause := "signal"
+		select {
+		case <-ctx.Done():
+			return
+		case <-x.hangup:
+		case <-ticker.C:
+			if x.client.Ready() {
+				continue
+			}
+			cause = "no contact to the group"
+		}
+		s, err := load()
+		if err != nil {
+			x.logger.Error("the settings stay as they were", "step", "reload", "cause", cause, "error", err.Error())
+			continue
+		}
+		if slices.Equal(s.Seeds, seeds) {
+			x.logger.Info("the settings are unchanged", "step", "reload", "cause", cause)
+			continue
+		}
+		seeds = s.Seeds
+		x.logger.Info("the seeds have changed", "step", "reload", "cause", cause, "seeds", s.Seeds)
+		x.client.tracker.note(func(time.Duration) { x.client.tracker.router.Reseed(s.SeedPeers()) })
+		if changed != nil {
+			changed(s)
+		}
+	}
+}
+
 // server listens on an address and serves a handler until it is shut down.
 func (x *process) server(address string, h http.Handler, failed chan<- error) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
