coordination/jobs: members of gangs that wait are not stalled; histories in virtual time

A start that was not answered was sent again to a worker that drains (history 1053). Limits on tasks of one worker left out those being committed. Change: each of these, a fixed order for every decision, and histories that play leaders against workers that keep to the protocol, with late orders, lost answers, cuts, restarts, drains, failures, stalls and changes of leader.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -145,7 +145,7 @@
 		most int
 	}
 	var options []option
-	for _, w := range l.workers {
+	for _, w := range l.byID {
 		v, asked := s.advice.verdicts[w.ID]
 		if asked && v.bornMS == w.BornMS || !l.suits(s, w) {
 			continue
@@ -257,7 +257,7 @@
 
 // checkAdvice gives up calls that were not answered in time.
 func (l *Leader) checkAdvice() {
-	for _, s := range l.steps {
+	for _, s := range l.sortedSteps() {
 		if !s.advice.asking || l.now < s.advice.deadline {
 			continue
 		}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -45,6 +45,7 @@
 	wallMS int64
 
 	workers  map[string]*worker
+	byID     []*worker // the same, sorted
 	steps    map[job.StepRef]*step
 	due      *queue.Timeline[job.StepRef] // occurrences that are not due yet
 	services map[job.ID]bool
@@ -131,7 +132,7 @@
 		l.sweep()
 	}
 	l.activateDue()
-	for _, w := range l.workers {
+	for _, w := range l.byID {
 		l.tend(w)
 	}
 	if l.dirty && l.now >= l.nextSchedule {
@@ -147,9 +148,9 @@
 	if l.dirty {
 		wake = min(wake, l.nextSchedule)
 	}
-	for _, w := range l.workers {
-		if at := w.nextAction(); at > 0 {
-			wake = min(wake, at)
+	for _, w := range l.byID {
+		if w.next > 0 {
+			wake = min(wake, w.next)
 		}
 	}
 	if at, ok := l.due.Next(); ok {
--- /dev/null
+++ b/coordination/jobs/leader_test.go
@@ -0,0 +1,278 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+func tasks(count, cores int, estimateMS int64) job.Step {
+	return job.Step{Count: count, PerTask: resource.Amount{MilliCores: cores * 1000, MemoryMB: 10}, EstimateMS: estimateMS}
+}
+
+// calm returns a world with workers that have reported.
+func calm(t *testing.T, seed uint64, workers int, advice *job.Advice) *world {
+	w := newWorld(t, seed)
+	w.configure(3, advice)
+	for i := range workers {
+		w.addWorker(fmt.Sprint("w", i), 16)
+	}
+	w.heartbeats()
+	w.run(200 * time.Millisecond)
+	return w
+}
+
+func (w *world) phase(id job.ID) job.Phase {
+	if j := w.state.Job(id); j != nil {
+		return j.Phase
+	}
+	return ""
+}
+
+// Guards against a path on which a job with dependent steps, a gang and advice does not
+// end as completed.
+func TestJobsCompleteOnACalmDay(t *testing.T) {
+	w := calm(t, 1, 8, &job.Advice{DecideMS: 10, EachMS: 0.2, ValidMS: 1500})
+	gang := tasks(6, 4, 800)
+	gang.Gang = true
+	after := tasks(3, 2, 500)
+	after.After = []int{0}
+	w.submit("/u/", job.Submission{ID: "a", Steps: []job.Step{gang, after}})
+	w.submit("/b/", job.Submission{ID: "b", Steps: []job.Step{tasks(20, 3, 700)}})
+	w.submit("/b/", job.Submission{ID: "c", Times: 3, FirstMS: w.wallMS() + 1000, IntervalMS: 2000, Steps: []job.Step{tasks(1, 1, 300)}})
+	w.run(20 * time.Second)
+	for _, id := range []job.ID{"a", "b", "c"} {
+		if p := w.phase(id); p != job.Completed {
+			t.Errorf("job %s is %q", id, p)
+		}
+	}
+	if w.alone > 0 {
+		t.Errorf("%d members of a gang waited in vain", w.alone)
+	}
+}
+
+// Guards against a member of a gang that is stopped as stalled because it has done its
+// part and waits for the others.
+func TestWaitingMemberIsNotStalled(t *testing.T) {
+	w := calm(t, 3, 4, nil)
+	gang := tasks(3, 4, 12_000)
+	gang.Gang = true
+	w.submit("/u/", job.Submission{ID: "g", Steps: []job.Step{gang}})
+	w.run(time.Second)
+	s := w.leader.steps[job.StepRef{Job: "g"}]
+	if s == nil || len(s.runs) != 3 {
+		t.Fatalf("the gang does not run: %+v", s)
+	}
+	for _, r := range s.runs {
+		r.percent, r.progressAt = 100, w.now-time.Minute
+	}
+	w.leader.checkProgress()
+	for _, r := range s.runs {
+		if r.phase != running {
+			t.Errorf("member %s is %d", r.ref, r.phase)
+		}
+	}
+}
+
+// Guards against a stalled task that keeps its job waiting although others could run it.
+func TestStalledTaskRunsElsewhere(t *testing.T) {
+	w := calm(t, 4, 3, nil)
+	for _, x := range w.workers {
+		x.hang = x.id == "w0"
+	}
+	for i := range 6 {
+		w.submit("/b/", job.Submission{ID: job.ID(fmt.Sprint("s", i)), Steps: []job.Step{tasks(2, 4, 500)}})
+	}
+	w.run(30 * time.Second)
+	for i := range 6 {
+		if p := w.phase(job.ID(fmt.Sprint("s", i))); p != job.Completed {
+			t.Errorf("job s%d is %q", i, p)
+		}
+	}
+}
+
+// Guards against a resend that starts a job a second time or is refused.
+func TestResendIsAnsweredAsAccepted(t *testing.T) {
+	w := calm(t, 5, 2, nil)
+	s := job.Submission{ID: "r", Steps: []job.Step{tasks(1, 1, 200)}}
+	first := w.submit("/u/", s)
+	w.run(3 * time.Second)
+	second := w.submit("/u/", s)
+	w.run(6 * time.Second)
+	for _, token := range []Token{first, second} {
+		if a := w.answers[token]; a.Code != CodeOK {
+			t.Errorf("answer %+v", a)
+		}
+	}
+}
+
+// Guards against starting, after a change of leader, what already runs, and against
+// losing it: a new leader adopts the runs of its predecessor.
+func TestNewLeaderAdoptsRuns(t *testing.T) {
+	w := calm(t, 6, 4, nil)
+	w.submit("/b/", job.Submission{ID: "n", Steps: []job.Step{tasks(8, 2, 4000)}})
+	w.run(time.Second)
+	w.depose()
+	w.run(2 * time.Second)
+	w.elect()
+	w.run(12 * time.Second)
+	if p := w.phase("n"); p != job.Completed {
+		t.Errorf("phase %q", p)
+	}
+	for _, x := range w.workers {
+		for _, number := range x.highest {
+			if number > 1 {
+				t.Errorf("worker %s was given run %d", x.id, number)
+			}
+		}
+	}
+}
+
+// Guards against every broken promise that the world checks, over random histories of
+// late orders, lost answers, cut and restarted workers, drains, cancels, failing and
+// stalled workers and changes of leader.
+func TestHistoriesKeepPromises(t *testing.T) {
+	seeds := uint64(40)
+	if testing.Short() {
+		seeds = 8
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed", 1000+seed), func(t *testing.T) {
+			t.Parallel()
+			playHistory(t, 1000+seed)
+		})
+	}
+}
+
+// Keeps histories in which a promise was broken.
+//
+//	1053: a start that was not answered was sent again to a worker that drains by then.
+func TestHistoriesThatFailedBefore(t *testing.T) {
+	for _, seed := range []uint64{1053} {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			playHistory(t, seed)
+		})
+	}
+}
+
+func playHistory(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	var advice *job.Advice
+	if seed%2 == 0 {
+		advice = &job.Advice{DecideMS: 10, EachMS: 0.2, ValidMS: 1500}
+	}
+	w.configure(3, advice)
+	for i := range 8 {
+		w.addWorker(fmt.Sprint("w", i), 16)
+	}
+	w.heartbeats()
+	n := 0
+	for at := 200 * time.Millisecond; at < 25*time.Second; at += w.between(50*time.Millisecond, 400*time.Millisecond) {
+		w.run(at)
+		w.randomJob(n)
+		n++
+		if w.rng.IntN(12) == 0 {
+			w.trouble()
+		}
+	}
+	w.calmDown()
+	w.run(w.now + 60*time.Second)
+	for id := range w.specs {
+		j := w.state.Job(id)
+		if j == nil || j.Phase.Final() || t.Failed() {
+			continue
+		}
+		w.errorf("job %s is %s a minute after the last trouble: %+v", id, j.Phase, j.Occurrences[0])
+	}
+}
+
+func (w *world) randomJob(n int) {
+	first := tasks(1+w.rng.IntN(5), 1+w.rng.IntN(5), int64(200+w.rng.IntN(2500)))
+	first.Gang = w.rng.IntN(3) == 0
+	first.Checkpointing = w.rng.IntN(2) == 0
+	if w.rng.IntN(6) == 0 && !first.Gang {
+		first.MaxPerWorker = 1
+	}
+	steps := []job.Step{first}
+	if w.rng.IntN(3) == 0 {
+		second := tasks(1+w.rng.IntN(3), 1, int64(200+w.rng.IntN(800)))
+		second.After = []int{0}
+		steps = append(steps, second)
+	}
+	id := job.ID(fmt.Sprint("h", n))
+	w.submit([]string{"/u/", "/b/"}[w.rng.IntN(2)], job.Submission{ID: id, Steps: steps})
+	if w.rng.IntN(10) == 0 {
+		w.after(w.between(100*time.Millisecond, 3*time.Second), func() { w.cancelJob(id) })
+	}
+}
+
+func (w *world) cancelJob(id job.ID) {
+	w.token++
+	token := w.token
+	path := "/u/"
+	if j := w.state.Job(id); j != nil && j.Queue == "batch" {
+		path = "/b/"
+	}
+	w.handle(Cancel{Token: token, Host: "h", Path: path + string(id)})
+	w.after(100*time.Millisecond, func() {
+		if a, ok := w.answers[token]; ok && a.Code == CodeOK && a.Phase == job.Cancelled {
+			w.gone[id] = w.now
+		}
+	})
+}
+
+func (w *world) pickWorker() *fakeWorker {
+	n := w.rng.IntN(len(w.workers))
+	for _, i := range []int{n} {
+		return w.workers[fmt.Sprint("w", i, ":1")]
+	}
+	return nil
+}
+
+// trouble begins one random disruption and schedules its end.
+func (w *world) trouble() {
+	x := w.pickWorker()
+	length := w.between(500*time.Millisecond, 8*time.Second)
+	switch w.rng.IntN(7) {
+	case 0:
+		w.loseAnswers = 0.08
+		w.after(length, func() { w.loseAnswers = 0 })
+	case 1:
+		x.cut = true
+		w.after(length, func() { x.cut = false })
+	case 2:
+		x.dead, x.runs = true, map[job.TaskRef]*fakeRun{}
+		w.after(length, func() {
+			id := x.id
+			if w.rng.IntN(2) == 0 {
+				id = fmt.Sprint(x.id, "x")
+			}
+			x.begin(id)
+		})
+	case 3:
+		x.leaving = true
+		w.after(3*time.Second+length, func() { x.runs = map[job.TaskRef]*fakeRun{}; x.begin(x.id) })
+	case 4:
+		x.failShare = 1
+		w.after(length, func() { x.failShare = 0 })
+	case 5:
+		x.hang = true
+		w.after(length, func() { x.hang = false })
+	case 6:
+		if w.up {
+			w.depose()
+			w.after(w.between(300*time.Millisecond, 2*time.Second), w.elect)
+		}
+	}
+}
+
+func (w *world) calmDown() {
+	w.loseAnswers = 0
+	for _, x := range w.workers {
+		x.cut, x.hang, x.failShare = false, false, 0
+	}
+}
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -60,7 +60,7 @@
 // tasks is kept elsewhere.
 func (l *Leader) candidates(p *pass, s *step, allowed func(*worker) bool) []candidate {
 	var out []candidate
-	for _, w := range l.workers {
+	for _, w := range l.byID {
 		if !l.suits(s, w) || !allowed(w) {
 			continue
 		}
@@ -103,19 +103,19 @@
 	if s.spec.MaxPerWorker == 0 {
 		return n
 	}
-	for _, r := range s.runs {
-		if l.holder(r) == w {
-			n = min(n, s.spec.MaxPerWorker)
-		}
-	}
 	return min(n, s.spec.MaxPerWorker-s.onWorker(w.ID))
 }
 
-// onWorker counts the tasks of a step that a worker holds.
+// onWorker counts the tasks of a step that a worker holds or is about to get.
 func (s *step) onWorker(id string) int {
 	n := 0
 	for i := range s.runs {
-		if s.task(i).Worker == id {
+		if s.planned[i] == "" && s.task(i).Worker == id {
+			n++
+		}
+	}
+	for _, worker := range s.planned {
+		if worker == id {
 			n++
 		}
 	}
@@ -139,12 +139,8 @@
 	rest := waiting
 	for _, c := range l.candidates(p, s, s.admits(l.now)) {
 		for n := 0; n < c.room && len(rest) > 0; n++ {
-			i := l.pickTask(s, rest, c.w)
-			if i < 0 {
-				break
-			}
-			items = append(items, job.Assignment{Index: rest[i], Run: s.task(rest[i]).Run + 1, Worker: c.w.ID, BornMS: c.w.BornMS})
-			rest = slices.Delete(slices.Clone(rest), i, i+1)
+			items = append(items, job.Assignment{Index: rest[0], Run: s.task(rest[0]).Run + 1, Worker: c.w.ID, BornMS: c.w.BornMS})
+			rest = rest[1:]
 		}
 	}
 	if len(items) > 0 {
@@ -155,14 +151,6 @@
 	}
 }
 
-// pickTask returns the position of the task to place on a worker, or -1.
-func (l *Leader) pickTask(_ *step, rest []int, _ *worker) int {
-	if len(rest) == 0 {
-		return -1
-	}
-	return 0
-}
-
 // placeGang assigns all tasks of a gang or none. If they do not fit, it keeps room for
 // them free of steps that come later.
 func (l *Leader) placeGang(p *pass, s *step, waiting []int) {
@@ -261,7 +249,7 @@
 		}
 	}
 	for _, it := range items {
-		s.planned[it.Index] = true
+		s.planned[it.Index] = it.Worker
 		w := l.workers[it.Worker]
 		w.pending = w.pending.Add(need)
 	}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -74,6 +74,9 @@
 		w.wake(r.nextTry)
 		return
 	}
+	if r.phase == starting && w.rec.Draining {
+		l.stopRun(w, r, "the worker drains")
+	}
 	r.calling = true
 	r.tries++
 	if r.phase == stopping {
@@ -208,7 +211,7 @@
 	if s == nil || !s.spec.Gang {
 		return
 	}
-	for _, other := range s.runs {
+	for _, other := range s.sortedRuns() {
 		if w := l.holder(other); w != nil && other != r {
 			l.stopRun(w, other, reason)
 		}
@@ -285,7 +288,8 @@
 // observation and is not carried out.
 func (l *Leader) missing(w *worker, asked time.Duration, listed map[job.TaskRef]int) []job.RunEnd {
 	var ends []job.RunEnd
-	for ref, r := range w.runs {
+	for _, r := range w.sortedRuns() {
+		ref := r.ref
 		absent := r.phase == unconfirmed || r.phase == stopping && r.stopped
 		if !absent || asked < r.since || listed[ref] >= r.number {
 			continue
@@ -365,8 +369,8 @@
 
 // checkGangs stops gangs whose members did not all start in time.
 func (l *Leader) checkGangs() {
-	for _, s := range l.steps {
-		if !s.spec.Gang || len(s.runs) == 0 {
+	for _, s := range l.sortedSteps() {
+		if !s.spec.Gang || len(s.runs) == 0 || s.done() {
 			continue
 		}
 		var waiting, confirmed int
@@ -382,7 +386,7 @@
 		}
 		partial := len(s.runs) < s.spec.Count
 		if confirmed > 0 && (waiting > 0 || partial) && l.now-oldest > l.bounds.GangWait-gangSlack {
-			for _, r := range s.runs {
+			for _, r := range s.sortedRuns() {
 				if w := l.holder(r); w != nil {
 					l.stopRun(w, r, "the gang did not start as a whole")
 				}
@@ -393,11 +397,11 @@
 
 // checkProgress stops tasks that have stood still although they should have got on.
 func (l *Leader) checkProgress() {
-	for _, w := range l.workers {
-		for _, r := range w.runs {
+	for _, w := range l.byID {
+		for _, r := range w.sortedRuns() {
 			s := l.steps[r.ref.StepRef]
-			if r.phase != running || s == nil || s.spec.Service || s.spec.Filler || w.silent {
-				continue
+			if r.phase != running || s == nil || s.spec.Service || s.spec.Filler || w.silent || r.percent >= 100 {
+				continue // a member of a gang that has done its part waits for the others
 			}
 			patience := max(stalledAfter, time.Duration(stalledShare*float64(s.spec.EstimateMS))*time.Millisecond)
 			if l.now-r.progressAt > patience {
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/state/job"
@@ -14,7 +16,7 @@
 	spec    *job.Step
 	queue   job.Queue
 	runs    map[int]*run    // by task, from the commit of the assignment to that of the end
-	planned map[int]bool    // tasks whose assignment is being committed
+	planned map[int]string  // workers of the tasks whose assignment is being committed
 	avoid   map[string]bool // workers on which a task of the step has failed
 	advice  advice
 	ready   time.Duration // when the step became ready
@@ -60,13 +62,16 @@
 		l.finals = append(l.finals, j.ID)
 		l.log("info", "job final", string(j.ID), "", "the job is "+string(j.Phase), "queue", j.Queue, "after_ms", l.wallMS-j.AcceptedMS, "reason", j.Reason)
 	}
-	for k := range j.Occurrences {
+	if j.Phase == job.Completed {
+		return // the ends of the last gang's other members are on their way
+	}
+	for _, k := range slices.Sorted(maps.Keys(j.Occurrences)) {
 		for i := range j.Steps {
 			s := l.steps[job.StepRef{Job: j.ID, Occurrence: k, Step: i}]
 			if s == nil {
 				continue
 			}
-			for _, r := range s.runs {
+			for _, r := range s.sortedRuns() {
 				if w := l.holder(r); w != nil {
 					l.stopRun(w, r, "the job is "+string(j.Phase))
 				}
@@ -101,7 +106,7 @@
 		}
 		s := &step{
 			ref: ref, job: j, spec: &j.Steps[i], queue: l.state.QueueOf(j), ready: l.now,
-			runs: map[int]*run{}, planned: map[int]bool{}, avoid: map[string]bool{},
+			runs: map[int]*run{}, planned: map[int]string{}, avoid: map[string]bool{},
 		}
 		s.setObjective()
 		if o != nil {
@@ -166,7 +171,7 @@
 	var out []int
 	o := s.job.Occurrence(s.ref.Occurrence)
 	for i := 0; i < s.spec.Count; i++ {
-		if s.planned[i] {
+		if s.planned[i] != "" {
 			continue
 		}
 		if o != nil {
@@ -179,6 +184,24 @@
 	return out
 }
 
+// sortedRuns returns the runs by task.
+func (s *step) sortedRuns() []*run {
+	out := make([]*run, 0, len(s.runs))
+	for _, i := range slices.Sorted(maps.Keys(s.runs)) {
+		out = append(out, s.runs[i])
+	}
+	return out
+}
+
+// sortedSteps returns the steps in a fixed order.
+func (l *Leader) sortedSteps() []*step {
+	out := slices.Collect(maps.Values(l.steps))
+	slices.SortFunc(out, func(a, b *step) int {
+		return job.CompareTasks(job.TaskRef{StepRef: a.ref}, job.TaskRef{StepRef: b.ref})
+	})
+	return out
+}
+
 // task returns the replicated record of a task; it is empty before the first start.
 func (s *step) task(i int) job.Task {
 	if t := s.job.Task(job.TaskRef{StepRef: s.ref, Index: i}); t != nil {
@@ -192,11 +215,14 @@
 	if len(s.runs) > 0 || len(s.planned) > 0 {
 		return false
 	}
-	if s.job.Phase.Final() || s.job.Finished[s.ref.Occurrence] {
-		return true
-	}
+	return s.job.Phase.Final() || s.done()
+}
+
+// done reports whether all tasks of the step are done; the ends of some members of a
+// gang may not be listed yet.
+func (s *step) done() bool {
 	o := s.job.Occurrence(s.ref.Occurrence)
-	return o != nil && o.Open[s.ref.Step] == 0
+	return s.job.Finished[s.ref.Occurrence] || o != nil && o.Open[s.ref.Step] == 0
 }
 
 // compareSteps orders the steps that wait. A job that cannot be done before it loses
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -163,7 +163,7 @@
 }
 
 func (l *Leader) workerOf(vm string) *worker {
-	for _, w := range l.workers {
+	for _, w := range l.byID {
 		if w.rec.VM == vm {
 			return w
 		}
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -1,6 +1,8 @@
 package jobs
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/state/job"
@@ -55,9 +57,18 @@
 		w.runs[r] = &run{ref: r, number: rec.Tasks[r], phase: unconfirmed, since: l.now, assigned: l.now}
 	}
 	l.workers[w.ID] = w
+	l.relist()
 	return w
 }
 
+// relist sorts the workers, so that every decision is the same for the same events.
+func (l *Leader) relist() {
+	l.byID = l.byID[:0]
+	for _, id := range slices.Sorted(maps.Keys(l.workers)) {
+		l.byID = append(l.byID, l.workers[id])
+	}
+}
+
 // leaseEnd returns when a lease granted now has expired for certain.
 func (l *Leader) leaseEnd() time.Duration {
 	return l.now + time.Duration(float64(l.lease())*(1+clockDrift)) + l.bounds.StopTime
@@ -88,6 +99,7 @@
 	w.leaving = false
 	if !c.Keep {
 		delete(l.workers, w.ID)
+		l.relist()
 	}
 }
 
@@ -203,8 +215,6 @@
 // touch lets tend look at a worker again.
 func (l *Leader) touch(w *worker) { w.next = l.now }
 
-func (w *worker) nextAction() time.Duration { return w.next }
-
 // tend sends a worker the orders that are due.
 func (l *Leader) tend(w *worker) {
 	if w.next == 0 || l.now < w.next {
@@ -215,12 +225,19 @@
 		return
 	}
 	l.tendObservation(w)
-	for _, r := range w.runs {
+	for _, r := range w.sortedRuns() {
 		l.tendRun(w, r)
 	}
 	l.checkLost(w)
 }
 
+// sortedRuns returns the runs in a fixed order.
+func (w *worker) sortedRuns() []*run {
+	out := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(out, func(a, b *run) int { return job.CompareTasks(a.ref, b.ref) })
+	return out
+}
+
 // wake sets the next time at which tend looks at a worker.
 func (w *worker) wake(at time.Duration) {
 	if w.next == 0 || at < w.next {
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -340,11 +340,12 @@
 	for r := range w.Tasks {
 		out = append(out, r)
 	}
-	slices.SortFunc(out, compareTasks)
+	slices.SortFunc(out, CompareTasks)
 	return out
 }
 
-func compareTasks(a, b TaskRef) int {
+// CompareTasks orders tasks by job, occurrence, step and index.
+func CompareTasks(a, b TaskRef) int {
 	switch {
 	case a.Job != b.Job:
 		if a.Job < b.Job {
