--- a/coordination/jobgroup.go
+++ b/coordination/jobgroup.go
@@ -16,6 +16,7 @@
 type JobConfig struct {
 	Founders []string       // names of the processes that form the group at first start; none later
 	Contacts []state.Member // where a process that is not a member asks to join; name and address
+	Losses   int            // members that may be lost at the same time
 	Bounds   jobs.Bounds
 	Address  func(name string) string // of a process that is not a member yet, host:port
 }
@@ -52,6 +53,7 @@
 		Group: JobGroup, Self: n.self, Rand: n.cfg.Rand,
 		HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries,
 		Bootstrap: n.cfg.Jobs.Founders, Contacts: n.cfg.Jobs.Contacts, Open: true,
+		MaxVoters: 2*max(1, n.cfg.Jobs.Losses) + 1,
 	}, n.clock.Now)
 	n.replicas[JobGroup] = r
 	n.hosted = append(n.hosted, r)
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -23,7 +23,7 @@
 const (
 	// leaseTarget is the lease that workers are given. It outlasts a change of leader,
 	// and after it the tasks of a silent worker run elsewhere.
-	leaseTarget = 6 * time.Second
+	leaseTarget = 4 * time.Second
 	// clockDrift is how much slower a worker's clock may be, with a margin over the 2%
 	// that the platform states.
 	clockDrift = 0.03
@@ -49,7 +49,8 @@
 	steps    map[job.StepRef]*step
 	due      *queue.Timeline[job.StepRef] // occurrences that are not due yet
 	services map[job.ID]bool
-	queued   map[job.ID]string // jobs without a started task, with their queue
+	queued   map[job.ID]string // jobs of which no task is known to have started, with their queue
+	begun    map[job.ID]bool   // open jobs of which a start was confirmed
 	finals   []job.ID          // final jobs, by the time at which this leader learned of it
 	forgetAt map[job.ID]int64
 	agents   agents
@@ -67,7 +68,7 @@
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, due: queue.NewTimeline[job.StepRef](),
-		services: map[job.ID]bool{}, queued: map[job.ID]string{}, forgetAt: map[job.ID]int64{},
+		services: map[job.ID]bool{}, queued: map[job.ID]string{}, begun: map[job.ID]bool{}, forgetAt: map[job.ID]int64{},
 		advised: map[string]*goodShare{}, speeds: estimate.New(), dirty: true,
 	}
 	for _, w := range st.Workers() {
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -276,3 +276,30 @@
 		x.cut, x.hang, x.failShare = false, false, 0
 	}
 }
+
+// Guards against a job that is no longer counted as waiting because its task was
+// assigned to a worker that never gets the start.
+func TestAssignedJobWaitsUntilItsStartIsConfirmed(t *testing.T) {
+	w := calm(t, 8, 2, nil)
+	for _, x := range w.workers {
+		x.cut = true
+	}
+	w.submit("/u/", job.Submission{ID: "q", Steps: []job.Step{tasks(1, 1, 200)}})
+	w.run(w.now + time.Second)
+	if n := w.waitingIn("/u/"); n != 1 {
+		t.Errorf("%d jobs wait, although no start was confirmed", n)
+	}
+	for _, x := range w.workers {
+		x.cut = false
+	}
+	w.run(w.now + 15*time.Second)
+	if n := w.waitingIn("/u/"); n != 0 {
+		t.Errorf("%d jobs wait after the job was done", n)
+	}
+}
+
+func (w *world) waitingIn(path string) int {
+	w.token++
+	w.handle(Lookup{Token: w.token, Host: "h", Path: path})
+	return w.answers[w.token].Waiting
+}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -132,6 +132,7 @@
 	switch e.Result {
 	case OrderDone:
 		r.phase, r.since, r.progressAt = running, l.now, l.now
+		l.taskBegun(r.ref.Job)
 		l.log("debug", "start", r.ref.String(), w.ID, "started", "run", r.number)
 	case OrderNoAnswer, OrderLate, OrderFenced:
 		r.unanswered = r.unanswered || e.Result == OrderNoAnswer
@@ -272,6 +273,7 @@
 			l.log("info", "adopt", r.ref.String(), w.ID, "runs since before this term", "run", r.number)
 		}
 		r.phase, r.since, r.progressAt = running, l.now, l.now
+		l.taskBegun(r.ref.Job)
 		j := l.state.Job(r.ref.Job)
 		if j == nil || j.Phase.Final() {
 			l.stopRun(w, r, "the job is final")
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -31,11 +31,7 @@
 
 // jobChanged follows a job whose tasks or phase have changed.
 func (l *Leader) jobChanged(j *job.Job) {
-	if j.Phase == job.Queued && j.Times == 0 {
-		l.queued[j.ID] = j.Queue
-	} else {
-		delete(l.queued, j.ID)
-	}
+	l.countWaiting(j)
 	if j.Phase.Final() {
 		l.finalChanged(j)
 		return
@@ -55,6 +51,42 @@
 	}
 }
 
+// countWaiting keeps the jobs of which no task is known to have started. A task that is
+// assigned has not started yet: its start may be under way, or its worker cut off.
+func (l *Leader) countWaiting(j *job.Job) {
+	switch {
+	case j.Phase.Final():
+		delete(l.begun, j.ID)
+		delete(l.queued, j.ID)
+	case j.Times == 0 && !l.begun[j.ID] && !hasProgress(j):
+		l.queued[j.ID] = j.Queue
+	default:
+		delete(l.queued, j.ID)
+	}
+}
+
+// hasProgress reports whether ends or checkpoints show that a task has started.
+func hasProgress(j *job.Job) bool {
+	for _, o := range j.Occurrences {
+		for _, tasks := range o.Steps {
+			for i := range tasks {
+				if t := &tasks[i]; t.Status == job.TaskDone || t.Failures > 0 || t.Checkpoint != "" {
+					return true
+				}
+			}
+		}
+	}
+	return len(j.Finished) > 0
+}
+
+// taskBegun notes that a worker has confirmed a start.
+func (l *Leader) taskBegun(id job.ID) {
+	if !l.begun[id] {
+		l.begun[id] = true
+		delete(l.queued, id)
+	}
+}
+
 // finalChanged stops what a final job still runs and remembers when to forget it.
 func (l *Leader) finalChanged(j *job.Job) {
 	if _, ok := l.forgetAt[j.ID]; !ok {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -12,9 +12,12 @@
 const (
 	// observeWait is how long a worker that runs something may hold back its answer
 	// until a run ends. It bounds the time after which a silent worker is noticed.
-	observeWait = 1500 * time.Millisecond
+	observeWait = 700 * time.Millisecond
 	// observeRetry is the pause after an order that was not answered.
-	observeRetry = 250 * time.Millisecond
+	observeRetry = 100 * time.Millisecond
+	// maxMisses is the number of observations in a row that may stay unanswered before
+	// a worker counts as silent. Single answers are lost on the way.
+	maxMisses = 2
 	// staleAfter is the silence of an idle worker after which it gets no work: three
 	// heartbeats of 1.5 s.
 	staleAfter = 4500 * time.Millisecond
@@ -33,7 +36,8 @@
 	promised  time.Duration // after this, every lease that was granted has expired
 	heard     time.Duration // of the last heartbeat or answer
 	sequence  int64         // of the last heartbeat
-	silent    bool          // an order was not answered; no new work until one is
+	misses    int           // observations in a row that were not answered
+	silent    bool          // orders were not answered; no new work until one is
 	leaving   bool          // the end of its runs is being committed
 	observing bool
 	urgent    bool          // the answer to the next observation is needed at once
@@ -261,10 +265,10 @@
 // lease until it does, so that its runs end if it stays unreachable.
 func (l *Leader) observe(w *worker) {
 	e := Observe{Order: l.order(w), Noted: w.rec.Noted}
-	if len(w.runs) > 0 && !w.silent && w.clockMS > 0 {
+	if len(w.runs) > 0 && w.misses == 0 && !w.silent && w.clockMS > 0 {
 		e.UntilMS = l.extendLease(w)
 	}
-	if !w.urgent && !w.silent && w.acked >= w.rec.Noted-maxListedEnds && len(w.runs) > 0 {
+	if !w.urgent && w.misses == 0 && !w.silent && w.acked >= w.rec.Noted-maxListedEnds && len(w.runs) > 0 {
 		e.WaitMS = int(observeWait.Milliseconds())
 	}
 	w.observing, w.urgent = true, false
@@ -284,7 +288,7 @@
 		if w.silent {
 			l.log("info", "worker answers", "", w.ID, "the worker answers again")
 		}
-		w.silent, w.acked = false, max(w.acked, e.Observe.Noted)
+		w.silent, w.misses, w.acked = false, 0, max(w.acked, e.Observe.Noted)
 		w.hear(l.now, e.ClockMS)
 		l.compare(w, &e)
 		l.dirty = true
@@ -293,7 +297,10 @@
 		l.endWorker(w, false)
 	default:
 		w.observeAt = l.now + observeRetry
-		l.unanswered(w, "observe", e.Result)
+		w.misses++
+		if w.misses >= maxMisses {
+			l.unanswered(w, "observe", e.Result)
+		}
 	}
 }
 
--- a/coordination/replication/group.go
+++ b/coordination/replication/group.go
@@ -42,6 +42,7 @@
 	Bootstrap []string        // names of the expected founding members, the same on all of them
 	Contacts  []state.Member  // further processes to ask for admission, by name and address
 	Open      bool            // processes with other names than the founders' may join
+	MaxVoters int             // voters beyond which further processes stay spares, 0 for no limit
 }
 
 type role uint8
--- a/coordination/replication/membership.go
+++ b/coordination/replication/membership.go
@@ -17,6 +17,10 @@
 	// while it answers, or two processes of one name would displace each other.
 	rivalTimeout = time.Second
 
+	// replaceAfter is the silence after which a spare takes the place of a voter. It is
+	// longer than a VM takes to restart, and than partitions usually last.
+	replaceAfter = 12 * time.Second
+
 	// maxLearnerLag is the number of entries that a learner may be behind when it is
 	// admitted. Under load it is never level with the leader.
 	maxLearnerLag = 64
@@ -110,6 +114,9 @@
 	if m.Name == g.self.Name || !g.cfg.Open && g.membership().Find(m.Name) == nil && !g.allowed[m.Name] {
 		return
 	}
+	if g.isSpare(m.Name) && g.lostVoter() == nil {
+		return
+	}
 	for i, p := range g.peers {
 		if p.learner && p.member.Name == m.Name {
 			if g.now-p.lastSeen < rivalTimeout {
@@ -163,9 +170,41 @@
 	if old := g.membership().Find(p.member.Name); old != nil {
 		return without(g.voters(), old.Name), g.isSilent(old)
 	}
+	if g.isSpare(p.member.Name) {
+		lost := g.lostVoter()
+		if lost == nil {
+			return nil, false
+		}
+		return without(g.voters(), lost.Name), true
+	}
 	return with(g.voters(), p.member), true
 }
 
+// isSpare reports whether the group has enough voters without a process. An odd number
+// of voters keeps a majority on one side when the members are cut into two halves; a
+// further voter would not add a loss that the group survives.
+func (g *Group) isSpare(name string) bool {
+	return g.cfg.MaxVoters > 0 && len(g.voters()) >= g.cfg.MaxVoters && g.membership().Find(name) == nil
+}
+
+// lostVoter returns a voter that has been silent for so long that a spare should take
+// its place, or nil.
+func (g *Group) lostVoter() *state.Member {
+	for _, v := range g.voters() {
+		if v.Incarnation == g.self.Incarnation {
+			continue
+		}
+		last := g.electedAt
+		if p := g.peer(v.Incarnation); p != nil && p.hasAck {
+			last = max(last, p.acked)
+		}
+		if g.now-last >= replaceAfter {
+			return &v
+		}
+	}
+	return nil
+}
+
 func (g *Group) isSilent(v *state.Member) bool {
 	last := g.electedAt
 	if p := g.peer(v.Incarnation); p != nil && p.hasAck {
--- a/protocol/settings/site.go
+++ b/protocol/settings/site.go
@@ -23,6 +23,7 @@
 	MetricsPort int        `json:"metrics_port"`                      // 0 for none
 	Seeds       []string   `json:"seeds" required:"true" min:"1"`     // control addresses of some members
 	FirstStart  bool       `json:"first_start"`                       // the whole deployment starts for the first time
+	Losses      int        `json:"losses"`                            // members that may be lost at the same time
 	DataDir     string     `json:"data_dir"`                          // of a member
 	Listen      SiteListen `json:"listen"`
 	AdviceAPI   string     `json:"advice_api"` // address of the service that tells which workers may run a step
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -18,8 +18,9 @@
 	// costs a call a moment and not its whole time.
 	attemptTimeout = 700 * time.Millisecond
 	// electionPatience is how long a call that has not been delivered waits for a
-	// leader before it is refused. Callers have other gateways to try.
-	electionPatience = 600 * time.Millisecond
+	// leader before it is refused. An election takes longer; callers have other gateways
+	// to try and are told when to come back.
+	electionPatience = 250 * time.Millisecond
 	// attemptPause is the pause after a failed attempt.
 	attemptPause = 30 * time.Millisecond
 )
@@ -66,7 +67,7 @@
 		case outcome == lost:
 			unknown = true
 		}
-		patient := unknown || time.Since(began) < electionPatience
+		patient := unknown || c.Ready() && time.Since(began) < electionPatience
 		if outcome != redirected && (!patient || !pause(ctx, attemptPause)) || ctx.Err() != nil {
 			break
 		}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -100,7 +100,7 @@
 // jobConfig names the founders: the seeds of the first start of the whole deployment.
 // At any other start an empty member joins what there is.
 func (m *member) jobConfig() *coordination.JobConfig {
-	c := &coordination.JobConfig{Bounds: m.settings.JobBounds(), Address: m.settings.PeerAddressOf}
+	c := &coordination.JobConfig{Bounds: m.settings.JobBounds(), Losses: m.settings.Losses, Address: m.settings.PeerAddressOf}
 	c.Contacts = contacts(m.settings)
 	if m.settings.FirstStart && m.isSeed() {
 		c.Founders = m.settings.SeedHosts()
