site: metrics of calls, orders, decisions and waiting

Cause: on-call engineers have only logs and metrics, and a process counted nothing. Change: each process serves counters and histograms in Prometheus text; labels are bounded. A line is logged for each accepted or failed call with its outcome. Conclusion: docs/OPERATIONS.md can refer to them.

--- a/coordination/jobs/effect.go
+++ b/coordination/jobs/effect.go
@@ -63,6 +63,14 @@
 		Timeout time.Duration
 	}
 
+	// Measure reports one measurement.
+	Measure struct {
+		Metric Metric
+		Queue  string
+		Phase  job.Phase // for MetricTotal
+		Value  time.Duration
+	}
+
 	// ServiceVM takes a VM down for maintenance. It is answered with Serviced.
 	ServiceVM struct {
 		VM   string
@@ -77,6 +85,16 @@
 func (Observe) jobEffect()   {}
 func (AskAdvice) jobEffect() {}
 func (ServiceVM) jobEffect() {}
+func (Measure) jobEffect()   {}
+
+// Metric names what a Measure measures.
+type Metric string
+
+// Metrics.
+const (
+	MetricWait  Metric = "wait"  // from the time at which a step could run to the assignment of its tasks
+	MetricTotal Metric = "total" // from acceptance, or the due time, to the final phase
+)
 
 // LogLine is a structured log line of a decision.
 type LogLine struct {
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,6 +38,7 @@
 	peers   Forwarder
 	local   func(ctx context.Context, op protocol.Operation) protocol.Result // nil on a gateway
 	logger  hclog.Logger
+	called  func(operation string, code jobs.Code, took time.Duration)
 }
 
 // Ready reports whether the process is in contact with the leader.
@@ -51,6 +53,38 @@
 		return jobs.Answer{Code: jobs.CodeInvalid, Message: err.Error()}
 	}
 	began := time.Now()
+	a := c.repeat(ctx, op, began)
+	took := time.Since(began)
+	c.called(string(op.Name), a.Code, took)
+	c.logCall(ev, op, a, took)
+	return a
+}
+
+// logCall writes a line for each call about a job that did not succeed, and for each
+// accepted job.
+func (c *Client) logCall(ev jobs.Event, op protocol.Operation, a jobs.Answer, took time.Duration) {
+	var path string
+	switch e := ev.(type) {
+	case jobs.Submit:
+		path = e.Path
+	case jobs.Lookup:
+		path = e.Path
+	case jobs.Cancel:
+		path = e.Path
+	default:
+		if a.Code == jobs.CodeOK {
+			return
+		}
+	}
+	if _, isLookup := ev.(jobs.Lookup); isLookup && a.Code == jobs.CodeOK {
+		return
+	}
+	c.logger.Info("answered a call", "step", string(op.Name), "request", path[strings.LastIndex(path, "/")+1:], "code", string(a.Code),
+		"reason", a.Message, "phase", string(a.Phase), "took_ms", took.Milliseconds(), "leader", c.tracker.view.Load().target)
+}
+
+// repeat attempts an operation until it is answered or ctx ends.
+func (c *Client) repeat(ctx context.Context, op protocol.Operation, began time.Time) jobs.Answer {
 	unknown := false
 	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: time.Second}
 	for {
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"os"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
@@ -43,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	m.loop.Stepped = func(d time.Duration) { m.metrics.step.Observe(d.Seconds()) }
 	failed := make(chan error, 8)
 	servers, err := m.open(m, m.loop, failed)
 	if err != nil {
@@ -173,8 +175,13 @@
 	case coordination.SendPeer:
 		m.peers.Send(e.Address, e.Message)
 	case coordination.JobEffect:
+		if measure, ok := e.Effect.(jobs.Measure); ok {
+			m.metrics.measured(measure)
+			return
+		}
 		go m.perform(e.Effect)
 	case coordination.JobLog:
+		m.metrics.decisions.WithLabelValues(e.Line.Step).Inc()
 		m.logLine(&e.Line)
 	case coordination.Log:
 		m.logger.Log(hclog.LevelFromString(e.Level), e.Message, "step", e.Step, "peer", e.Peer)
@@ -216,6 +223,7 @@
 	default:
 		return
 	}
+	m.metrics.ordered(ev)
 	m.loop.Send(m.running, coordination.JobEvent{Event: ev})
 }
 
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -2,23 +2,115 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/primrosereach/primrosereach/coordination/jobs"
 )
 
-// metricsHandler serves the metrics of the process.
-func (x *process) metricsHandler() http.Handler {
-	r := prometheus.NewRegistry()
-	r.MustRegister(
-		collectors.NewGoCollector(),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "primrosereach_ready", Help: "1 if the process serves callers."}, func() float64 {
-			if x.client.Ready() && !x.draining.Load() {
+const namespace = "primrosereach_"
+
+// maxQueueLabels bounds the queues with time series of their own. Operators may
+// configure hundreds; further ones share the label "other".
+const maxQueueLabels = 50
+
+// secondsBuckets spans the placement of a lookup and the run of a long job.
+var secondsBuckets = []float64{.005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10, 30, 60, 300, 1800}
+
+// metrics collects the measurements of a process.
+type metrics struct {
+	registry *prometheus.Registry
+
+	calls       *prometheus.CounterVec
+	callTime    *prometheus.HistogramVec
+	orders      *prometheus.CounterVec
+	decisions   *prometheus.CounterVec
+	wait, total *prometheus.HistogramVec
+	step        prometheus.Histogram
+	queues      map[string]bool
+}
+
+func newMetrics(ready func() bool) *metrics {
+	m := &metrics{
+		registry:  prometheus.NewRegistry(),
+		calls:     counter("calls_total", "Calls performed at the leader, by operation and outcome.", "operation", "code"),
+		callTime:  histogram("call_seconds", "Time that a call to the leader takes, attempts included.", "operation"),
+		orders:    counter("orders_total", "Orders to workers and calls for advice, by result.", "order", "result"),
+		decisions: counter("decisions_total", "Decisions of the leader that were logged.", "step"),
+		wait:      histogram("step_wait_seconds", "Time from a step's readiness to the assignment of tasks.", "queue"),
+		total:     histogram("job_seconds", "Time from acceptance to the final phase.", "queue", "phase"),
+		step: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: namespace + "control_step_seconds", Help: "Time that the control goroutine takes for one event.", Buckets: []float64{1e-4, 1e-3, 5e-3, .01, .05, .1, .5},
+		}),
+		queues: map[string]bool{},
+	}
+	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, collectors.NewGoCollector(),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: namespace + "ready", Help: "1 if the process serves callers."}, func() float64 {
+			if ready() {
 				return 1
 			}
 			return 0
-		}),
-	)
-	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+		}))
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: namespace + name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: namespace + name, Help: help, Buckets: secondsBuckets}, labels)
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// called counts a call to the leader.
+func (m *metrics) called(operation string, code jobs.Code, took time.Duration) {
+	m.calls.WithLabelValues(operation, string(code)).Inc()
+	m.callTime.WithLabelValues(operation).Observe(took.Seconds())
+}
+
+// measured takes a measurement of the leader. It is called by the control goroutine.
+func (m *metrics) measured(e jobs.Measure) {
+	queue := e.Queue
+	if !m.queues[queue] {
+		if len(m.queues) >= maxQueueLabels {
+			queue = "other"
+		} else {
+			m.queues[queue] = true
+		}
+	}
+	switch e.Metric {
+	case jobs.MetricWait:
+		m.wait.WithLabelValues(queue).Observe(e.Value.Seconds())
+	case jobs.MetricTotal:
+		m.total.WithLabelValues(queue, string(e.Phase)).Observe(e.Value.Seconds())
+	}
+}
+
+// ordered counts the result of an order.
+func (m *metrics) ordered(ev jobs.Event) {
+	switch e := ev.(type) {
+	case jobs.StartAnswered:
+		m.orders.WithLabelValues("start", e.Result.String()).Inc()
+	case jobs.StopAnswered:
+		m.orders.WithLabelValues("stop", e.Result.String()).Inc()
+	case jobs.PaceAnswered:
+		m.orders.WithLabelValues("pace", e.Result.String()).Inc()
+	case jobs.Observed:
+		m.orders.WithLabelValues("observe", e.Result.String()).Inc()
+	case jobs.Serviced:
+		m.orders.WithLabelValues("service VM", e.Result.String()).Inc()
+	case jobs.AdviceAnswered:
+		result := "done"
+		if e.Err != nil {
+			result = "failed"
+		}
+		m.orders.WithLabelValues("advice", result).Inc()
+	}
 }
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -65,6 +65,7 @@
 	client   *Client
 	draining atomic.Bool
 	hangup   chan os.Signal // the settings may have changed
+	metrics  *metrics
 	wg       sync.WaitGroup
 }
 
@@ -91,6 +92,8 @@
 	x := &process{hangup: hangup, settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
 	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
 	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeers()), peers: x.peers, logger: x.logger}
+	x.metrics = newMetrics(func() bool { return x.client.Ready() && !x.draining.Load() })
+	x.client.called = x.metrics.called
 	x.client.tracker.attend = x.client.attend(s.Name)
 	return x
 }
@@ -192,7 +195,7 @@
 	add(x.settings.Listen.Ready, x.readyHandler())
 	add(x.settings.PeerAddress(), peers)
 	if x.settings.MetricsPort > 0 {
-		add(net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metricsHandler())
+		add(net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metrics.handler())
 	}
 	return public, err
 }
