--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -21,9 +21,10 @@
 }
 
 const (
-	// leaseTarget is the lease that workers are given. It outlasts a change of leader,
-	// and after it the tasks of a silent worker run elsewhere.
-	leaseTarget = 4 * time.Second
+	// leaseTarget is the lease that workers are given, if they grant it. Tasks outlast a
+	// partition or an outage of the group that is shorter, which costs less than running
+	// them again; after it the tasks of a silent worker run elsewhere.
+	leaseTarget = 10 * time.Second
 	// clockDrift is how much slower a worker's clock may be, with a margin over the 2%
 	// that the platform states.
 	clockDrift = 0.03
