--- a/coordination/jobs/preempt.go
+++ b/coordination/jobs/preempt.go
@@ -14,6 +14,9 @@
 	preemptAfter = 250 * time.Millisecond
 	// preemptPercent: a task that is nearly done frees its room sooner by ending.
 	preemptPercent = 85
+	// maxPreemptions bounds how often one task is stopped for others, so that it gets
+	// done in the end.
+	maxPreemptions = 2
 	// claimTime is how long workers are kept for a step after tasks were stopped for it.
 	// It covers the stops and a call for advice on long steps.
 	claimTime = 2500 * time.Millisecond
@@ -100,7 +103,7 @@
 		if v == nil || r.phase != running || v.queue.Priority <= s.queue.Priority || !v.spec.Checkpointing || v.spec.Gang || v.spec.Service {
 			continue
 		}
-		if r.percent < preemptPercent {
+		if r.percent < preemptPercent && v.preempted[r.ref.Index] < maxPreemptions {
 			out = append(out, r)
 		}
 	}
@@ -115,7 +118,9 @@
 		if l.room(free, s, y.w) >= take {
 			return
 		}
-		free = free.Add(l.steps[r.ref.StepRef].spec.Reserved())
+		victim := l.steps[r.ref.StepRef]
+		free = free.Add(victim.spec.Reserved())
+		victim.preempted[r.ref.Index]++
 		l.stopRun(y.w, r, "preempted by "+s.ref.String())
 	}
 }
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -21,6 +21,7 @@
 	advice  advice
 	ready   time.Duration // when the step became ready
 
+	preempted    map[int]int    // how often a task was stopped for other steps
 	claims       map[string]int // tasks for which a worker is kept free, after others were stopped for it
 	claimedUntil time.Duration
 
@@ -142,7 +143,7 @@
 		}
 		s := &step{
 			ref: ref, job: j, spec: &j.Steps[i], queue: l.state.QueueOf(j), ready: l.now,
-			runs: map[int]*run{}, planned: map[int]string{}, avoid: map[string]bool{},
+			runs: map[int]*run{}, planned: map[int]string{}, avoid: map[string]bool{}, preempted: map[int]int{},
 		}
 		s.setObjective()
 		if o != nil {
