--- /dev/null
+++ b/coordination/jobs/observe.go
@@ -0,0 +1,66 @@
+package jobs
+
+// tendObservation asks a worker for its lists when that is due.
+func (l *Leader) tendObservation(w *worker) {
+	needed := len(w.runs) > 0 || w.acked < w.rec.Noted || w.urgent
+	if !needed || w.observing || w.noting {
+		return
+	}
+	if l.now < w.observeAt {
+		w.wake(w.observeAt)
+		return
+	}
+	l.observe(w)
+}
+
+// observe asks a worker for its lists. A worker that did not answer gets no longer
+// lease until it does, so that its runs end if it stays unreachable.
+func (l *Leader) observe(w *worker) {
+	e := Observe{Order: l.order(w), Noted: w.rec.Noted}
+	if len(w.runs) > 0 && w.misses == 0 && !w.silent && w.clockMS > 0 {
+		e.UntilMS = l.extendLease(w)
+	}
+	if !w.urgent && w.misses == 0 && !w.silent && w.acked >= w.rec.Noted-maxListedEnds && len(w.runs) > 0 {
+		e.WaitMS = int(observeWait.Milliseconds())
+	}
+	w.observing, w.urgent = true, false
+	l.host.Emit(e)
+}
+
+func (l *Leader) observed(e Observed) {
+	w := l.workers[e.Observe.Worker.ID]
+	if w == nil || w.Incarnation != e.Observe.Worker {
+		return
+	}
+	w.observing = false
+	w.observeAt = l.now
+	l.touch(w)
+	switch e.Result {
+	case OrderDone:
+		if w.silent {
+			l.log("info", "worker answers", "", w.ID, "the worker answers again")
+		}
+		w.silent, w.misses, w.acked = false, 0, max(w.acked, e.Observe.Noted)
+		w.hear(l.now, e.ClockMS)
+		l.compare(w, &e)
+		l.dirty = true
+	case OrderOtherLife:
+		l.log("info", "worker gone", "", w.ID, "another life answers at its address")
+		l.endWorker(w, false)
+	default:
+		w.observeAt = l.now + observeRetry
+		w.misses++
+		if w.misses >= maxMisses {
+			l.unanswered(w, "observe", e.Result)
+		}
+	}
+}
+
+// unanswered notes that a worker did not carry out an order.
+func (l *Leader) unanswered(w *worker, step string, result OrderResult) {
+	if !w.silent {
+		l.log("warn", step, "", w.ID, "the worker does not answer and gets no new work", "result", result.String(), "heard_ms_ago", (l.now - w.heard).Milliseconds(), "runs", len(w.runs))
+	}
+	w.silent = true
+	w.wake(l.now + observeRetry)
+}
--- /dev/null
+++ b/coordination/jobs/report.go
@@ -0,0 +1,76 @@
+package jobs
+
+import "github.com/primrosereach/primrosereach/state/job"
+
+// announce follows a worker's report about itself.
+func (l *Leader) announce(e Announce) {
+	reply := func(committed bool) {
+		if committed {
+			l.host.Reply(e.Token, Answer{Code: CodeOK})
+		} else {
+			l.host.Reply(e.Token, unavailable("the report was not stored"))
+		}
+	}
+	known := l.state.Worker(e.Worker.ID)
+	if known == nil || known.BornMS < e.Worker.BornMS {
+		rec := e.Worker
+		ok := l.propose(&job.Command{Join: &rec}, func(_ job.Applied, committed bool) {
+			if committed && e.Leaving {
+				l.drain(rec.Incarnation, reply)
+				return
+			}
+			reply(committed)
+		})
+		if !ok {
+			reply(false)
+		}
+		return
+	}
+	w := l.workers[known.ID]
+	if w != nil && known.BornMS == e.Worker.BornMS && e.Sequence > w.sequence {
+		w.sequence = e.Sequence
+		w.hear(l.now, e.ClockMS)
+		if w.silent && !w.observing {
+			w.urgent, w.observeAt = true, l.now
+			l.touch(w)
+		}
+	}
+	if e.Leaving && !known.Draining && known.BornMS == e.Worker.BornMS {
+		l.drain(known.Incarnation, reply)
+		return
+	}
+	reply(true)
+}
+
+// drain stores that a worker takes no new work, before that is acknowledged.
+func (l *Leader) drain(w job.Incarnation, reply func(committed bool)) {
+	ok := l.propose(&job.Command{Drain: &w}, func(_ job.Applied, committed bool) {
+		if committed {
+			l.log("info", "drain", "", w.ID, "the worker leaves and takes no new work")
+		}
+		reply(committed)
+	})
+	if !ok {
+		reply(false)
+	}
+}
+
+// depart follows the announced end of a worker. Its tasks are not ended on this word
+// alone: it could be a late message of an earlier life. The worker does not answer any
+// more, so they end with its lease at the latest.
+func (l *Leader) depart(e Depart) {
+	w := l.workers[e.ID]
+	if w == nil {
+		l.host.Reply(e.Token, Answer{Code: CodeOK})
+		return
+	}
+	w.silent, w.urgent, w.observeAt = true, true, l.now
+	l.touch(w)
+	l.drain(w.Incarnation, func(committed bool) {
+		if committed {
+			l.host.Reply(e.Token, Answer{Code: CodeOK})
+		} else {
+			l.host.Reply(e.Token, unavailable("the departure was not stored"))
+		}
+	})
+}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"os"
 	"sync"
 
@@ -21,6 +19,7 @@
 	"github.com/primrosereach/primrosereach/transport/metrics"
 	"github.com/primrosereach/primrosereach/transport/peer"
 	"github.com/primrosereach/primrosereach/transport/persist"
+	"github.com/primrosereach/primrosereach/transport/random"
 )
 
 // process is a running entry process.
@@ -77,7 +76,7 @@
 // open reads the data directory and builds the node.
 func (p *process) open() error {
 	self := p.settings.Self()
-	member := state.Member{Name: self.Name, Incarnation: randomUint64(), Address: p.settings.PeerAdvertise, Domain: p.settings.Domain, Disk: p.settings.DataDir != ""}
+	member := state.Member{Name: self.Name, Incarnation: random.Uint64(), Address: p.settings.PeerAdvertise, Domain: p.settings.Domain, Disk: p.settings.DataDir != ""}
 	peers := peersOf(p.settings)
 	recovered := map[string]coordination.Recovered{}
 	logs := map[string]persist.Log{}
@@ -88,7 +87,7 @@
 	}
 	p.writer = persist.NewWriter(logs, p.loop)
 	p.node = coordination.New(coordination.Config{
-		Self: member, Peers: peers, Recovered: recovered, Rand: cryptoRand{},
+		Self: member, Peers: peers, Recovered: recovered, Rand: random.Source{},
 		NewScheduler: newScheduler,
 	}, p.loop.Clock())
 	return nil
@@ -152,19 +151,3 @@
 	}
 	p.logger.Log(hclog.LevelFromString(e.Level), e.Message, args...)
 }
-
-// cryptoRand implements replication.Rand.
-type cryptoRand struct{}
-
-func (cryptoRand) Uint64() uint64 { return randomUint64() }
-
-// randomUint64 returns a random number other than 0.
-func randomUint64() uint64 {
-	var b [8]byte
-	for {
-		_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-		if v := binary.LittleEndian.Uint64(b[:]); v != 0 {
-			return v
-		}
-	}
-}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"encoding/json"
 	"os"
 	"time"
@@ -19,6 +17,7 @@
 	"github.com/primrosereach/primrosereach/state/storage"
 	"github.com/primrosereach/primrosereach/transport/control"
 	"github.com/primrosereach/primrosereach/transport/persist"
+	"github.com/primrosereach/primrosereach/transport/random"
 )
 
 // member is a process that holds the state of the job group.
@@ -78,7 +77,7 @@
 	if err := os.MkdirAll(s.DataDir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create data directory")
 	}
-	store, err := storage.Open(storage.OS(), s.DataDir, randomUint64())
+	store, err := storage.Open(storage.OS(), s.DataDir, random.Uint64())
 	if err != nil {
 		return nil, errors.Wrap(err, "open data directory")
 	}
@@ -92,7 +91,7 @@
 	m.writer = persist.NewWriter(map[string]persist.Log{coordination.JobGroup: log}, m.loop)
 	self := state.Member{Name: s.IP, Incarnation: store.Incarnation(), Address: s.PeerAddress(), Domain: s.Domain, Disk: true}
 	m.node = coordination.New(coordination.Config{
-		Self: self, Rand: cryptoRand{},
+		Self: self, Rand: random.Source{},
 		Recovered: map[string]coordination.Recovered{coordination.JobGroup: {HardState: rec.HardState, Snapshot: rec.Snapshot, Entries: rec.Entries}},
 		Jobs:      m.jobConfig(),
 	}, m.loop.Clock())
@@ -256,20 +255,3 @@
 	out.Good, out.ValidMS = a.Good, a.ValidMS
 	return out
 }
-
-// cryptoRand implements replication.Rand.
-type cryptoRand struct{}
-
-// Uint64 returns a random number.
-func (cryptoRand) Uint64() uint64 { return randomUint64() }
-
-// randomUint64 returns a random number other than 0.
-func randomUint64() uint64 {
-	var b [8]byte
-	for {
-		_, _ = rand.Read(b[:]) // never fails, see crypto/rand
-		if v := binary.LittleEndian.Uint64(b[:]); v != 0 {
-			return v
-		}
-	}
-}
