coordination/jobs: workers of a domain that may be cut off get no new work

Change: one unanswered order is enough to wait for the next answer; if a quarter of a domain's workers miss an answer, the others get work only if they answered within 0.2 s; observations wait 0.4 s. The fake workers hold their answers back as real ones do. Measured: the new test fails before (the idle worker still gets work) and passes.

--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -343,3 +343,39 @@
 		}
 	}
 }
+
+// Guards against work that is placed on an idle worker whose failure domain was just cut
+// off: its last heartbeat is recent, and the work is bound to it until its lease ends.
+func TestIdleWorkerOfCutDomainGetsNoWork(t *testing.T) {
+	w := calm(t, 11, 8, nil)
+	for i, x := range w.sorted() {
+		x.domain = []string{"a", "b"}[i%2]
+		if i > 0 {
+			x.labels = []string{"busy"}
+		}
+		x.begin(x.id + "n") // a new life in its domain
+	}
+	w.run(w.now + 2*time.Second)
+	base := tasks(7, 1, 30_000)
+	base.MaxPerWorker, base.RequiredLabel = 1, "busy"
+	w.submit("/b/", job.Submission{ID: "base", Steps: []job.Step{base}})
+	w.run(w.now + time.Second)
+	idle := w.leader.workers["w0n"]
+	if len(idle.runs) > 0 || !w.leader.usable(idle) {
+		t.Fatalf("the worker should be idle: %+v", idle)
+	}
+	for _, x := range w.workers {
+		x.cut = x.domain == "a"
+	}
+	w.run(w.now + observeWait + testTimeout + 100*time.Millisecond)
+	if w.leader.usable(idle) {
+		t.Error("the idle worker still gets work")
+	}
+	for _, x := range w.workers {
+		x.cut = false
+	}
+	w.run(w.now + 3*time.Second)
+	if !w.leader.usable(idle) {
+		t.Error("the worker gets no work after the partition has healed")
+	}
+}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -50,6 +50,7 @@
 	default:
 		w.observeAt = l.now + observeRetry
 		w.misses++
+		l.suspectDomain(w.rec.Domain)
 		if w.misses >= maxMisses {
 			l.unanswered(w, "observe", e.Result)
 		}
@@ -64,3 +65,24 @@
 	w.silent = true
 	w.wake(l.now + observeRetry)
 }
+
+// suspectDomain makes a failure domain suspect if many of its workers do not answer.
+func (l *Leader) suspectDomain(domain string) {
+	missing, all := 0, 0
+	for _, w := range l.byID {
+		if w.rec.Domain != domain {
+			continue
+		}
+		all++
+		if w.misses > 0 {
+			missing++
+		}
+	}
+	if missing < suspectLeast || float64(missing) < suspectShare*float64(all) {
+		return
+	}
+	if l.now >= l.suspects[domain] {
+		l.log("warn", "suspect domain", "", domain, "workers of the failure domain do not answer", "missing", missing, "workers", all)
+	}
+	l.suspects[domain] = l.now + suspectTime
+}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -127,6 +127,10 @@
 	case OrderNoAnswer, OrderLate, OrderFenced:
 		r.unanswered = r.unanswered || e.Result == OrderNoAnswer
 		r.nextTry = l.now + orderRetry
+		if e.Result == OrderNoAnswer && w.misses == 0 {
+			w.misses = 1 // no further work until an observation is answered
+			l.suspectDomain(w.rec.Domain)
+		}
 		l.log("info", "start", r.ref.String(), w.ID, "the start is sent again", "run", r.number, "result", e.Result.String(), "tries", r.tries)
 		if r.tries >= maxStartTries {
 			if e.Result == OrderNoAnswer {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -12,12 +12,21 @@
 const (
 	// observeWait is how long a worker that runs something may hold back its answer
 	// until a run ends. It bounds the time after which a silent worker is noticed.
-	observeWait = 700 * time.Millisecond
+	observeWait = 400 * time.Millisecond
 	// observeRetry is the pause after an order that was not answered.
 	observeRetry = 100 * time.Millisecond
 	// maxMisses is the number of observations in a row that may stay unanswered before
 	// a worker counts as silent. Single answers are lost on the way.
 	maxMisses = 2
+	// suspectShare of a failure domain's workers, and at least suspectLeast, that miss
+	// an answer at the same time make the others suspect too: the domain may have been
+	// cut off.
+	suspectShare = 0.25
+	suspectLeast = 3
+	// suspectTime is how long a domain stays suspect, and suspectHeard the age of the
+	// last answer from which its workers get no new work meanwhile.
+	suspectTime  = time.Second
+	suspectHeard = 200 * time.Millisecond
 	// staleAfter is the silence of an idle worker after which it gets no work: three
 	// heartbeats of 1.5 s.
 	staleAfter = 4500 * time.Millisecond
@@ -207,8 +216,13 @@
 	w.wake(l.now + observeRetry)
 }
 
-// usable reports whether a worker may get new work.
+// usable reports whether a worker may get new work. One unanswered order is enough to
+// wait for the next answer: a start that reaches a cut-off worker is bound to it until
+// its lease ends.
 func (l *Leader) usable(w *worker) bool {
-	return !w.silent && !w.leaving && !w.rec.Draining && w.clockMS > 0 &&
+	if l.now < l.suspects[w.rec.Domain] && l.now-w.heard > suspectHeard {
+		return false
+	}
+	return !w.silent && w.misses == 0 && !w.leaving && !w.rec.Draining && w.clockMS > 0 &&
 		(len(w.runs) > 0 || l.now-w.heard < staleAfter) && !w.failures.quarantined(l.now)
 }
--- a/coordination/jobs/worker_test.go
+++ b/coordination/jobs/worker_test.go
@@ -18,6 +18,7 @@
 	slow     float64 // of its clock
 	capacity resource.Amount
 	labels   []string
+	domain   string
 	sequence int64
 	fence    uint64
 	until    int64 // end of the lease, on its own clock
@@ -60,7 +61,7 @@
 }
 
 func (x *fakeWorker) record() job.Worker {
-	return job.Worker{Incarnation: job.Incarnation{ID: x.id, BornMS: x.born}, Address: x.address, Pool: "p", Capacity: x.capacity, Labels: x.labels}
+	return job.Worker{Incarnation: job.Incarnation{ID: x.id, BornMS: x.born}, Address: x.address, Pool: "p", Domain: x.domain, Capacity: x.capacity, Labels: x.labels}
 }
 
 // clock is never 0, so that 0 can mean "not told".
--- a/coordination/jobs/world_test.go
+++ b/coordination/jobs/world_test.go
@@ -54,6 +54,7 @@
 	testStop     = 400 * time.Millisecond
 	testGangWait = 3 * time.Second
 	testMaxLease = 6 * time.Second
+	testTimeout  = 250 * time.Millisecond // of an order
 	testEpochMS  = 1_700_000_000_000
 )
 
@@ -301,7 +302,7 @@
 			return StopAnswered{Stop: e, Result: x.stop(&e), ClockMS: x.clock()}
 		}, StopAnswered{Stop: e, Result: OrderNoAnswer})
 	case Observe:
-		w.deliver(e.Order, func(x *fakeWorker) Event { return x.observe(&e) }, Observed{Observe: e, Result: OrderNoAnswer})
+		w.observe(e)
 	}
 }
 
@@ -330,7 +331,7 @@
 	w.after(w.between(time.Millisecond, 4*time.Millisecond), func() {
 		x := w.workers[o.Address]
 		if x == nil || x.cut || x.dead {
-			w.after(600*time.Millisecond, func() { answer(lost) })
+			w.after(testTimeout, func() { answer(lost) })
 			return
 		}
 		if w.rng.Float64() < w.loseAnswers {
@@ -339,10 +340,55 @@
 					f(x)
 				}
 			})
-			w.after(600*time.Millisecond, func() { answer(lost) })
+			w.after(testTimeout, func() { answer(lost) })
 			return
 		}
 		e := f(x)
 		w.after(w.between(time.Millisecond, 3*time.Millisecond), func() { answer(e) })
 	})
 }
+
+// observe carries an observation to a worker, which holds its answer back until a run
+// has ended or the wait is over.
+func (w *world) observe(o Observe) {
+	term := w.term
+	answer := func(e Event) {
+		if w.term == term {
+			w.handle(e)
+		}
+	}
+	wait := time.Duration(o.WaitMS) * time.Millisecond
+	lost := func() { w.after(testTimeout, func() { answer(Observed{Observe: o, Result: OrderNoAnswer}) }) }
+	reachable := func() *fakeWorker {
+		x := w.workers[o.Address]
+		if x == nil || x.cut || x.dead {
+			return nil
+		}
+		return x
+	}
+	var poll func(until time.Duration)
+	poll = func(until time.Duration) {
+		x := reachable()
+		switch {
+		case x == nil:
+			w.after(max(0, until-w.now), lost)
+		case len(x.ended) == 0 && w.now < until && x.id == o.Worker.ID:
+			w.after(10*time.Millisecond, func() { poll(until) })
+		default:
+			e := x.observe(&o)
+			w.after(w.between(time.Millisecond, 3*time.Millisecond), func() { answer(e) })
+		}
+	}
+	w.after(w.between(time.Millisecond, 4*time.Millisecond), func() {
+		x := reachable()
+		if x == nil || w.rng.Float64() < w.loseAnswers {
+			w.after(wait, lost)
+			return
+		}
+		if e := x.observe(&o); len(x.ended) > 0 || wait == 0 {
+			w.after(w.between(time.Millisecond, 3*time.Millisecond), func() { answer(e) })
+			return
+		}
+		poll(w.now + wait)
+	})
+}
