--- a/coordination/gateway/gateway.go
+++ b/coordination/gateway/gateway.go
@@ -13,9 +13,9 @@
 	// RetryInterval is the pause before the next member is tried after a failure.
 	RetryInterval = 50 * time.Millisecond
 	// contactTimeout is the age of the last contact from which the process takes no
-	// new connections. An election takes up to a second; callers are served elsewhere
-	// no sooner, so giving up earlier helps only if just this process is cut off.
-	contactTimeout = 1500 * time.Millisecond
+	// new connections. Most elections take less, so that a change of leader does not take
+	// all processes out of rotation.
+	contactTimeout = time.Second
 	// silentTimeout is the time for which a member that failed is tried last.
 	silentTimeout = time.Second
 )
--- /dev/null
+++ b/coordination/gateway/gateway_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a process that keeps asking a member that is down while another leads.
+func TestRouterMovesOn(t *testing.T) {
+	r := New([]string{"a", "b", "c"})
+	now := 10 * time.Second
+	first := r.Target(now)
+	r.Failed(now, first)
+	if next := r.Target(now); next == first {
+		t.Errorf("%s is asked again at once", next)
+	}
+	r.Redirected("b", "c")
+	if got := r.Target(now); got != "c" {
+		t.Errorf("target %s after a redirect to c", got)
+	}
+	now += 2 * time.Second // the first failure is forgotten by then
+	r.Answered(now, "c", []string{"a", "c", "d"})
+	r.Failed(now, "c")
+	if r.Leader() != "" {
+		t.Error("a leader that does not answer is still believed to lead")
+	}
+	seen := map[string]bool{}
+	for range 20 {
+		seen[r.Target(now)] = true
+	}
+	if !seen["a"] || !seen["b"] || !seen["d"] || seen["c"] {
+		t.Errorf("asked %v; the members, the seeds and no failed one were expected", seen)
+	}
+}
+
+// Guards against a late redirect of a former leader that replaces the present one.
+func TestLateRedirectChangesNothing(t *testing.T) {
+	r := New([]string{"a", "b"})
+	r.Answered(time.Second, "b", nil)
+	r.Redirected("a", "a")
+	if got := r.Leader(); got != "b" {
+		t.Errorf("leader %s", got)
+	}
+}
+
+// Guards against a process that takes callers although it cannot reach the leader, and
+// against one that gives up during an ordinary election.
+func TestReadinessFollowsContact(t *testing.T) {
+	r := New([]string{"a"})
+	if r.Ready(0) {
+		t.Error("ready before any contact")
+	}
+	r.Answered(time.Second, "a", nil)
+	if !r.Ready(time.Second + 700*time.Millisecond) {
+		t.Error("not ready during an election of 0.7 s")
+	}
+	if r.Ready(3 * time.Second) {
+		t.Error("ready 2 s after the last contact")
+	}
+}
+
+// Guards against new seeds that are not used, when all known members are gone.
+func TestNewSeedsAreTried(t *testing.T) {
+	r := New([]string{"a"})
+	r.Reseed([]string{"z"})
+	seen := map[string]bool{}
+	for range 4 {
+		seen[r.Target(time.Minute)] = true
+	}
+	if !seen["z"] {
+		t.Errorf("asked %v", seen)
+	}
+}
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -50,10 +50,10 @@
 	Workers Workers
 	Advisor Advisor
 	VMs     VMs
-	// Callers and Control return the handlers for the addresses of the settings. Draining
-	// reports that the process is about to stop and connections should move elsewhere.
-	Callers func(c *Client, draining func() bool) http.Handler
-	Control func(c *Client, draining func() bool) http.Handler
+	// Callers and Control return the handlers for the addresses of the settings. Leaving
+	// reports that connections should move to another process.
+	Callers func(c *Client, leaving func() bool) http.Handler
+	Control func(c *Client, leaving func() bool) http.Handler
 }
 
 // process is what members and gateways have in common.
@@ -187,7 +187,7 @@
 	}
 	peers := peer.NewHandler(loop, api, access.Open(), x.logger)
 	if x.settings.Listen.Callers != "" {
-		add(x.settings.Listen.Callers, x.platform.Callers(x.client, x.draining.Load))
+		add(x.settings.Listen.Callers, x.platform.Callers(x.client, x.leaving))
 	}
 	if x.settings.Listen.Control != "" {
 		add(x.settings.Listen.Control, x.platform.Control(x.client, x.draining.Load))
@@ -200,10 +200,14 @@
 	return public, err
 }
 
+// leaving reports whether callers should connect to another process: this one stops, or
+// cannot reach the leader.
+func (x *process) leaving() bool { return x.draining.Load() || !x.client.Ready() }
+
 // readyHandler answers the balancer's checks.
 func (x *process) readyHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if x.draining.Load() || !x.client.Ready() {
+		if x.leaving() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
