--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -59,6 +59,7 @@
 	speeds   *estimate.Estimator
 	waves    waves
 
+	adopting     bool // the state that earlier leaders left is being taken over
 	dirty        bool // a pass over the waiting steps may place something
 	nextSchedule time.Duration
 	nextSweep    time.Duration
@@ -70,7 +71,7 @@
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, due: queue.NewTimeline[job.StepRef](),
 		suspects: map[string]time.Duration{}, queued: map[job.ID]string{}, begun: map[job.ID]bool{}, forgetAt: map[job.ID]int64{},
-		advised: map[string]*goodShare{}, speeds: estimate.New(), dirty: true,
+		advised: map[string]*goodShare{}, speeds: estimate.New(), dirty: true, adopting: true,
 	}
 	for _, w := range st.Workers() {
 		l.adopt(w)
@@ -79,6 +80,7 @@
 		l.jobChanged(j)
 		return true
 	})
+	l.adopting = false
 	l.log("info", "take over", "", "", "leads the job group", "workers", len(l.workers), "open_jobs", len(l.queued))
 	return l
 }
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/primrosereach/primrosereach/coordination/placement"
 	"github.com/primrosereach/primrosereach/state/job"
@@ -242,6 +243,23 @@
 	}
 }
 
+// maxNamed bounds the workers that a log line names.
+const maxNamed = 6
+
+// namesOf lists the workers of an assignment for the log.
+func namesOf(items []job.Assignment) string {
+	var names []string
+	for _, it := range items {
+		if !slices.Contains(names, it.Worker) {
+			names = append(names, it.Worker)
+		}
+	}
+	if len(names) > maxNamed {
+		names = append(names[:maxNamed], "...")
+	}
+	return strings.Join(names, ",")
+}
+
 // holdClaims keeps what is free on claimed workers, also if it is too little for a task
 // yet: more is about to be freed there.
 func (l *Leader) holdClaims(p *pass, s *step) {
@@ -274,7 +292,7 @@
 		l.dirty = true
 		switch {
 		case committed && a.Rejected == nil:
-			l.log("info", "assign", s.ref.String(), "", "tasks were assigned", "tasks", len(items), "queue", s.queue.Name, "ready_ms", (l.now - s.ready).Milliseconds(), "age_ms", l.wallMS-s.job.AcceptedMS)
+			l.log("info", "assign", s.ref.String(), "", "tasks were assigned", "tasks", len(items), "workers", namesOf(items), "queue", s.queue.Name, "ready_ms", (l.now - s.ready).Milliseconds(), "age_ms", l.wallMS-s.job.AcceptedMS)
 			l.host.Emit(Measure{Metric: MetricWait, Queue: s.queue.Name, Value: l.now - s.ready})
 			l.startRuns(s, items)
 		case committed:
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -96,8 +96,7 @@
 	if _, ok := l.forgetAt[j.ID]; !ok {
 		l.forgetAt[j.ID] = l.wallMS + l.retention().Milliseconds()
 		l.finals = append(l.finals, j.ID)
-		l.host.Emit(Measure{Metric: MetricTotal, Queue: j.Queue, Phase: j.Phase, Value: time.Duration(l.wallMS-j.AcceptedMS) * time.Millisecond})
-		l.log("info", "job final", string(j.ID), "", "the job is "+string(j.Phase), "queue", j.Queue, "after_ms", l.wallMS-j.AcceptedMS, "reason", j.Reason)
+		l.reportFinal(j)
 	}
 	if j.Phase == job.Completed {
 		return // the ends of the last gang's other members are on their way
@@ -117,6 +116,16 @@
 	}
 }
 
+// reportFinal logs and measures the end of a job. A new leader does not repeat that for
+// jobs that ended before its term.
+func (l *Leader) reportFinal(j *job.Job) {
+	if l.adopting {
+		return
+	}
+	l.host.Emit(Measure{Metric: MetricTotal, Queue: j.Queue, Phase: j.Phase, Value: time.Duration(l.wallMS-j.AcceptedMS) * time.Millisecond})
+	l.log("info", "job final", string(j.ID), "", "the job is "+string(j.Phase), "queue", j.Queue, "after_ms", l.wallMS-j.AcceptedMS, "reason", j.Reason)
+}
+
 // retention is how long the phase of a final job can be read.
 func (l *Leader) retention() time.Duration { return l.bounds.StatusTime + 30*time.Second }
 
--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -69,7 +69,7 @@
 
 // An alarm on a name that does not exist never fires.
 func TestDocumentedNamesExist(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -100,6 +100,8 @@
 			unknown = unknown || a.Code == jobs.CodeUnknown
 		case outcome == lost:
 			unknown = true
+		case outcome == undelivered:
+			last.Message = "no member of the job group that leads was reached"
 		}
 		patient := unknown || c.Ready() && time.Since(began) < electionPatience
 		if outcome != redirected && (!patient || !pause(ctx, attemptPause)) || ctx.Err() != nil {
