--- a/cmd/primrosereach/site.go
+++ b/cmd/primrosereach/site.go
@@ -29,10 +29,11 @@
 func (a *app) siteCommand(name, short string, run func(context.Context, func() (*settings.Site, error), func(*settings.Site) site.Platform) error) *cobra.Command {
 	var file string
 	cmd := &cobra.Command{
-		Use:   name + " [--settings FILE]",
-		Short: short,
-		Long:  short + ". The settings file is also taken from " + settingsVariable + ".",
-		Args:  cobra.NoArgs,
+		Use:     name + " [--settings FILE]",
+		Short:   short,
+		Long:    short + ". The settings file is also taken from " + settingsVariable + ".",
+		Example: "  primrosereach " + name + " --settings /etc/primrosereach/settings.json",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			load := func() (*settings.Site, error) {
 				s, err := loadSiteSettings(file)
