--- a/coordination/replication/replicationtest/cluster.go
+++ b/coordination/replication/replicationtest/cluster.go
@@ -23,6 +23,7 @@
 	MaxSync       time.Duration // a sync takes up to this long
 	Drift         float64       // each clock runs by up to this part fast or slow
 	SnapshotEvery uint64        // entries between snapshots
+	MaxVoters     int           // processes beyond it stay spares; 0 for a group that admits founding names only
 	MakeCommand   func(id uint64) state.Command
 }
 
