--- a/coordination/replica.go
+++ b/coordination/replica.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/replication"
@@ -32,6 +33,9 @@
 	unsaved     int         // entries applied since the last snapshot
 	saving      bool        // a snapshot is on its way to the disk
 	appliedTerm uint64      // of the last applied entry
+	seenLeader  string      // as last logged
+	voterCount  int         // the same
+	voterIndex  uint64      // the same
 }
 
 func (n *Node) newReplica(group string, founders []string) *replica {
@@ -75,6 +79,27 @@
 		n.leadStep(r)
 		n.drain(r)
 	}
+	n.logGroup(r)
+}
+
+// logGroup writes a line when the process's view of the leader or of the voters has
+// changed.
+func (n *Node) logGroup(r *replica) {
+	leader, term := r.raft.Leader()
+	if leader != r.seenLeader {
+		r.seenLeader = leader
+		n.log("info", "leader changed", leader, fmt.Sprintf("group %s, term %d, leader %q", r.group, term, leader))
+	}
+	voters := r.raft.Membership().Voters
+	if len(voters) == r.voterCount && r.voterIndex == r.raft.MembershipIndex() {
+		return
+	}
+	r.voterCount, r.voterIndex = len(voters), r.raft.MembershipIndex()
+	names := ""
+	for _, v := range voters {
+		names += fmt.Sprintf(" %s/%x", v.Name, v.Incarnation)
+	}
+	n.log("info", "membership changed", "", fmt.Sprintf("group %s, entry %d, voters%s", r.group, r.voterIndex, names))
 }
 
 // drain turns what the group has ready into effects and applied entries. Applying
--- a/coordination/replication/status.go
+++ b/coordination/replication/status.go
@@ -49,6 +49,14 @@
 	return state.Membership{}
 }
 
+// MembershipIndex returns the log index of the membership in force, or 0.
+func (g *Group) MembershipIndex() uint64 {
+	if len(g.memberships) == 0 {
+		return 0
+	}
+	return g.memberships[len(g.memberships)-1].index
+}
+
 // Status returns the state of this replica at a time.
 func (g *Group) Status(now time.Duration) Status {
 	s := Status{
