protocol: the voters in an answer to a joiner are transmitted

A member (poa) lost its disk at 31 s; its seeds named itself, the spare and a follower. The follower's answer lists the voters, but the encoding left them out, so the member never reached the leader (jve) and was not admitted. At 46 s the leader's disk was lost too, and one voter of three remained.

Conclusion: with the first product every process knew all peers from its settings, so the gap had no effect there.

--- a/protocol/peer.go
+++ b/protocol/peer.go
@@ -22,6 +22,9 @@
 	if m.Member != nil {
 		out.Member = encodeMember(m.Member)
 	}
+	for i := range m.Members {
+		out.Members = append(out.Members, encodeMember(&m.Members[i]))
+	}
 	for i := range m.Entries {
 		e, err := encodeEntry(&m.Entries[i])
 		if err != nil {
@@ -54,6 +57,9 @@
 		member := decodeMember(m.Member)
 		out.Member = &member
 	}
+	for _, v := range m.Members {
+		out.Members = append(out.Members, decodeMember(v))
+	}
 	for _, e := range m.Entries {
 		entry, err := decodeEntry(e)
 		if err != nil {
