coordination/jobs: workers that are gone do not make their domain suspect

Change: a worker counts as missing only if it answered until recently and does not drain; when a domain becomes suspect its workers are asked, and get work again once they have answered; an idle worker that missed an answer is asked again.

--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -49,7 +49,7 @@
 	byID     []*worker // the same, sorted
 	steps    map[job.StepRef]*step
 	due      *queue.Timeline[job.StepRef] // occurrences that are not due yet
-	suspects map[string]time.Duration     // failure domains that may be cut off, until when
+	suspects map[string]suspicion         // by failure domain
 	queued   map[job.ID]string            // jobs of which no task is known to have started, with their queue
 	begun    map[job.ID]bool              // open jobs of which a start was confirmed
 	finals   []job.ID                     // final jobs, by the time at which this leader learned of it
@@ -70,7 +70,7 @@
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, due: queue.NewTimeline[job.StepRef](),
-		suspects: map[string]time.Duration{}, queued: map[job.ID]string{}, begun: map[job.ID]bool{}, forgetAt: map[job.ID]int64{},
+		suspects: map[string]suspicion{}, queued: map[job.ID]string{}, begun: map[job.ID]bool{}, forgetAt: map[job.ID]int64{},
 		advised: map[string]*goodShare{}, speeds: estimate.New(), dirty: true, adopting: true,
 	}
 	for _, w := range st.Workers() {
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -379,3 +379,38 @@
 		t.Error("the worker gets no work after the partition has healed")
 	}
 }
+
+// Guards against a failure domain that stays suspect, and its idle workers without work,
+// because some of its workers are gone.
+func TestWorkersThatAreGoneDoNotMakeTheirDomainUseless(t *testing.T) {
+	w := calm(t, 12, 8, nil)
+	for i, x := range w.sorted() {
+		x.domain = []string{"a", "b"}[i%2]
+		if i > 0 {
+			x.labels = []string{"busy"}
+		}
+		x.begin(x.id + "n") // a new life in its domain
+	}
+	w.run(w.now + 2*time.Second)
+	base := tasks(7, 1, 60_000)
+	base.MaxPerWorker, base.RequiredLabel = 1, "busy"
+	w.submit("/b/", job.Submission{ID: "base", Steps: []job.Step{base}})
+	w.run(w.now + time.Second)
+	for _, id := range []string{"w2", "w4", "w6"} {
+		w.workers[id+":1"].dead = true
+	}
+	w.run(w.now + time.Second)
+	idle := w.leader.workers["w0n"]
+	usable := 0
+	const samples = 40
+	for range samples {
+		w.run(w.now + 100*time.Millisecond)
+		if w.leader.usable(idle) {
+			usable++
+		}
+	}
+	// The worker answers within milliseconds when it is asked.
+	if usable < samples*9/10 {
+		t.Errorf("the last worker of the domain could get work in %d of %d samples", usable, samples)
+	}
+}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -1,8 +1,10 @@
 package jobs
 
+import "time"
+
 // tendObservation asks a worker for its lists when that is due.
 func (l *Leader) tendObservation(w *worker) {
-	needed := len(w.runs) > 0 || w.acked < w.rec.Noted || w.urgent
+	needed := len(w.runs) > 0 || w.acked < w.rec.Noted || w.urgent || w.misses > 0 && !w.silent
 	if !needed || w.observing || w.noting {
 		return
 	}
@@ -62,15 +64,20 @@
 	if !w.silent {
 		l.log("warn", step, "", w.ID, "the worker does not answer and gets no new work", "result", result.String(), "heard_ms_ago", (l.now - w.heard).Milliseconds(), "runs", len(w.runs))
 	}
-	w.silent = true
+	w.silent, w.misses = true, max(w.misses, 1)
 	w.wake(l.now + observeRetry)
 }
 
-// suspectDomain makes a failure domain suspect if many of its workers do not answer.
+// suspicion marks a failure domain that may have been cut off.
+type suspicion struct{ since, until time.Duration }
+
+// suspectDomain makes a failure domain suspect if many of its workers do not answer that
+// did until recently. Each of its workers is asked, and gets no new work before it has
+// answered. Workers that left or were lost earlier say nothing about the domain.
 func (l *Leader) suspectDomain(domain string) {
 	missing, all := 0, 0
 	for _, w := range l.byID {
-		if w.rec.Domain != domain {
+		if w.rec.Domain != domain || w.rec.Draining || l.now-w.heard > staleAfter {
 			continue
 		}
 		all++
@@ -81,8 +88,22 @@
 	if missing < suspectLeast || float64(missing) < suspectShare*float64(all) {
 		return
 	}
-	if l.now >= l.suspects[domain] {
+	s := l.suspects[domain]
+	if l.now >= s.until {
+		s.since = l.now
 		l.log("warn", "suspect domain", "", domain, "workers of the failure domain do not answer", "missing", missing, "workers", all)
+		l.askDomain(domain)
+	}
+	s.until = l.now + suspectTime
+	l.suspects[domain] = s
+}
+
+// askDomain asks the workers of a failure domain whether they are there.
+func (l *Leader) askDomain(domain string) {
+	for _, w := range l.byID {
+		if w.rec.Domain == domain && !w.observing {
+			w.urgent, w.observeAt = true, l.now
+			l.touch(w)
+		}
 	}
-	l.suspects[domain] = l.now + suspectTime
 }
--- a/coordination/jobs/report.go
+++ b/coordination/jobs/report.go
@@ -30,7 +30,7 @@
 	if w != nil && known.BornMS == e.Worker.BornMS && e.Sequence > w.sequence {
 		w.sequence = e.Sequence
 		w.hear(l.now, e.ClockMS)
-		if w.silent && !w.observing {
+		if w.misses > 0 && !w.observing {
 			w.urgent, w.observeAt = true, l.now
 			l.touch(w)
 		}
@@ -64,7 +64,7 @@
 		l.host.Reply(e.Token, Answer{Code: CodeOK})
 		return
 	}
-	w.silent, w.urgent, w.observeAt = true, true, l.now
+	w.silent, w.misses, w.urgent, w.observeAt = true, maxMisses, true, l.now
 	l.touch(w)
 	l.drain(w.Incarnation, func(committed bool) {
 		if committed {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -23,10 +23,8 @@
 	// cut off.
 	suspectShare = 0.25
 	suspectLeast = 3
-	// suspectTime is how long a domain stays suspect, and suspectHeard the age of the
-	// last answer from which its workers get no new work meanwhile.
-	suspectTime  = time.Second
-	suspectHeard = 200 * time.Millisecond
+	// suspectTime is how long a domain stays suspect after the last such miss.
+	suspectTime = time.Second
 	// staleAfter is the silence of an idle worker after which it gets no work: three
 	// heartbeats of 1.5 s.
 	staleAfter = 4500 * time.Millisecond
@@ -220,7 +218,7 @@
 // wait for the next answer: a start that reaches a cut-off worker is bound to it until
 // its lease ends.
 func (l *Leader) usable(w *worker) bool {
-	if l.now < l.suspects[w.rec.Domain] && l.now-w.heard > suspectHeard {
+	if s := l.suspects[w.rec.Domain]; l.now < s.until && w.heard <= s.since {
 		return false
 	}
 	return !w.silent && w.misses == 0 && !w.leaving && !w.rec.Draining && w.clockMS > 0 &&
