--- a/coordination/jobs/world_test.go
+++ b/coordination/jobs/world_test.go
@@ -170,7 +170,7 @@
 	}
 }
 
-// attendance keeps the agents of the current leader alive and reports the workers.
+// heartbeats keeps the agent of the current leader and the workers' reports coming.
 func (w *world) heartbeats() {
 	w.handle(Attend{Name: "self", Address: "agent"})
 	for _, x := range w.sorted() {
