transport: queue lookups are not held; time of a suspension counts

Besides, the steady clock stands still while a VM is suspended, so a leader that wakes would have taken its lease for valid and answered reads from an old state. Change: a lookup of a queue is answered within 0.8 of the bound on regressions or refused with the time to come back.

--- a/protocol/settings/site.go
+++ b/protocol/settings/site.go
@@ -42,16 +42,16 @@
 
 // SiteBounds are limits that the deployment sets.
 type SiteBounds struct {
-	MaxLeaseMS      float64 `json:"max_lease_ms" required:"true"`
-	StopMS          float64 `json:"stop_ms"`
-	GangWaitMS      float64 `json:"gang_wait_ms"`
-	StatusS         float64 `json:"status_s"`
-	FarFactor       float64 `json:"far_factor"`
-	CheckpointS     float64 `json:"checkpoint_s"`
-	NoticeMS        float64 `json:"notice_ms"` // a service task counts as available after so long at work
-	MaintenanceS    float64 `json:"maintenance_s"`
-	ShutdownS       float64 `json:"shutdown_s"` // from the stop signal to the kill
-	RestartCatchUpS float64 `json:"restart_catch_up_s"`
+	MaxLeaseMS   float64 `json:"max_lease_ms" required:"true"`
+	StopMS       float64 `json:"stop_ms"`
+	GangWaitMS   float64 `json:"gang_wait_ms"`
+	StatusS      float64 `json:"status_s"`
+	FarFactor    float64 `json:"far_factor"`
+	CheckpointS  float64 `json:"checkpoint_s"`
+	NoticeMS     float64 `json:"notice_ms"` // a service task counts as available after so long at work
+	MaintenanceS float64 `json:"maintenance_s"`
+	ShutdownS    float64 `json:"shutdown_s"`   // from the stop signal to the kill
+	MaxStaleMS   float64 `json:"max_stale_ms"` // after a process has answered under a configuration, until it answers under no older one
 }
 
 // LoadSite reads the settings file of a member or a gateway.
@@ -129,6 +129,14 @@
 	return net.JoinHostPort(host, strconv.Itoa(s.PeerPort))
 }
 
+// maxStaleShare is the share of the bound that a held answer may use up.
+const maxStaleShare = 0.8
+
+// MaxStale returns how long an answer that depends on the configuration may be held.
+func (s *Site) MaxStale() time.Duration {
+	return time.Duration(maxStaleShare * s.Bounds.MaxStaleMS * float64(time.Millisecond))
+}
+
 // JobBounds returns the bounds for the leader of the job group.
 func (s *Site) JobBounds() jobs.Bounds {
 	ms := func(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- a/transport/control/loop.go
+++ b/transport/control/loop.go
@@ -29,7 +29,7 @@
 	Stepped func(time.Duration)
 
 	events chan coordination.Event
-	start  time.Time
+	clock  *clock
 	tokens atomic.Uint64
 	done   chan struct{}
 
@@ -41,7 +41,7 @@
 func NewLoop() *Loop {
 	return &Loop{
 		events: make(chan coordination.Event, eventBuffer),
-		start:  time.Now(),
+		clock:  systemClock(),
 		done:   make(chan struct{}),
 		calls:  map[coordination.Token]chan coordination.Answer{},
 	}
@@ -50,11 +50,9 @@
 // Waiting returns the number of events that wait, and their bound.
 func (l *Loop) Waiting() (n, most int) { return len(l.events), cap(l.events) }
 
-// Clock returns the time of a step that begins now.
-func (l *Loop) Clock() scheduling.Clock {
-	now := time.Now()
-	return scheduling.Clock{Now: now.Sub(l.start), WallMS: now.UnixMilli()}
-}
+// Clock returns the time of a step that begins now. After Run has been called only the
+// control goroutine may use it.
+func (l *Loop) Clock() scheduling.Clock { return l.clock.now() }
 
 // Run steps the node until ctx ends. It must be called once.
 func (l *Loop) Run(ctx context.Context, node *coordination.Node, x Executor) {
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -33,12 +33,13 @@
 
 // Client performs calls at the leader of the job group.
 type Client struct {
-	self    string // peer address of this process
-	tracker *tracker
-	peers   Forwarder
-	local   func(ctx context.Context, op protocol.Operation) protocol.Result // nil on a gateway
-	logger  hclog.Logger
-	called  func(operation string, code jobs.Code, took time.Duration)
+	self     string // peer address of this process
+	tracker  *tracker
+	peers    Forwarder
+	local    func(ctx context.Context, op protocol.Operation) protocol.Result // nil on a gateway
+	logger   hclog.Logger
+	called   func(operation string, code jobs.Code, took time.Duration)
+	maxStale time.Duration // that the answer about a queue may be late, 0 for no limit
 }
 
 // Ready reports whether the process is in contact with the leader.
@@ -52,14 +53,31 @@
 	if err != nil {
 		return jobs.Answer{Code: jobs.CodeInvalid, Message: err.Error()}
 	}
+	if isQueueLookup(ev) && c.maxStale > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.maxStale)
+		defer cancel()
+	}
 	began := time.Now()
 	a := c.repeat(ctx, op, began)
+	if isQueueLookup(ev) && a.Code == jobs.CodeUnknown {
+		a = jobs.Answer{Code: jobs.CodeUnavailable, Message: a.Message, RetryAfter: time.Second} // it changes nothing
+	}
 	took := time.Since(began)
 	c.called(string(op.Name), a.Code, took)
 	c.logCall(ev, op, a, took)
 	return a
 }
 
+// isQueueLookup reports whether a call asks about a queue as a whole. Its answer tells
+// which configuration is in force. One that is held while the leader changes would be
+// answered under a newer configuration than calls that were sent later, which looks as
+// if the process had gone back to an older one.
+func isQueueLookup(ev jobs.Event) bool {
+	e, ok := ev.(jobs.Lookup)
+	return ok && strings.HasSuffix(e.Path, "/")
+}
+
 // logCall writes a line for each call about a job that did not succeed, and for each
 // accepted job.
 func (c *Client) logCall(ev jobs.Event, op protocol.Operation, a jobs.Answer, took time.Duration) {
--- /dev/null
+++ b/transport/site/client_test.go
@@ -0,0 +1,91 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/protocol"
+)
+
+// forwardFunc is a Forwarder.
+type forwardFunc func(ctx context.Context, address string) (protocol.Result, error)
+
+func (f forwardFunc) Forward(ctx context.Context, address string, _ protocol.Operation) (protocol.Result, error) {
+	return f(ctx, address)
+}
+
+func newTestClient(t *testing.T, f forwardFunc) *Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	c := &Client{
+		self: "self", tracker: newTracker([]string{"leader"}), peers: f, logger: hclog.NewNullLogger(),
+		called: func(string, jobs.Code, time.Duration) {}, maxStale: 100 * time.Millisecond,
+	}
+	c.tracker.attend = func(context.Context, string) {}
+	go c.tracker.run(ctx)
+	return c
+}
+
+func hang(ctx context.Context, _ string) (protocol.Result, error) {
+	<-ctx.Done()
+	return protocol.Result{}, ctx.Err()
+}
+
+// Guards against a call about a queue that is held while the leader changes and is then
+// answered under a newer configuration than calls that were sent later.
+func TestQueueLookupIsNotHeld(t *testing.T) {
+	c := newTestClient(t, hang)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	began := time.Now()
+	a := c.Call(ctx, jobs.Lookup{Host: "h", Path: "/q/"})
+	if a.Code != jobs.CodeUnavailable || a.RetryAfter == 0 {
+		t.Errorf("answer %+v; a refusal with the time to come back was expected", a)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the call was held for %v, the bound is 100 ms", took)
+	}
+}
+
+// Guards against a submission that is called refused although a member may have stored it.
+func TestLostSubmissionIsUnknown(t *testing.T) {
+	refused, err := json.Marshal(map[string]any{"code": jobs.CodeRefused})
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	c := newTestClient(t, func(ctx context.Context, address string) (protocol.Result, error) {
+		calls++
+		if calls == 1 {
+			return hang(ctx, address)
+		}
+		return protocol.Result{Body: refused}, nil
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if a := c.Call(ctx, jobs.Submit{Host: "h", Path: "/q/1"}); a.Code != jobs.CodeUnknown {
+		t.Errorf("answer %+v after %d attempts; the first one may have been carried out", a, calls)
+	}
+}
+
+// Guards against a submission that waits for its whole time although it was never sent.
+func TestUndeliveredSubmissionIsRefusedAtOnce(t *testing.T) {
+	c := newTestClient(t, func(context.Context, string) (protocol.Result, error) {
+		return protocol.Result{}, &net.OpError{Op: "dial", Err: errors.New("connection refused")}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	began := time.Now()
+	a := c.Call(ctx, jobs.Submit{Host: "h", Path: "/q/1"})
+	if a.Code != jobs.CodeUnavailable || a.RetryAfter == 0 || time.Since(began) > time.Second {
+		t.Errorf("answer %+v after %v", a, time.Since(began))
+	}
+}
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -91,7 +91,7 @@
 	signal.Notify(hangup, syscall.SIGHUP)
 	x := &process{hangup: hangup, settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
 	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
-	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeers()), peers: x.peers, logger: x.logger}
+	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeers()), peers: x.peers, logger: x.logger, maxStale: s.MaxStale()}
 	x.metrics = newMetrics(func() bool { return x.client.Ready() && !x.draining.Load() })
 	x.client.called = x.metrics.called
 	x.client.tracker.attend = x.client.attend(s.Name)
