coordination: a start cannot run on the next life of a worker; results of orders are never dropped

The leader saw another life, ended the runs of the last one at once and placed the tasks elsewhere while the next life still ran them. Change: runs whose start was not confirmed, or sent more than once, are stopped on the next life, and end only a stop's time after it has confirmed that; a new life is admitted after that. Results of orders are handled with or without a lease. BenchmarkLoad, which plays the users' load in virtual time, comes along with the worker's speed that it needs.

--- a/coordination/jobgroup.go
+++ b/coordination/jobgroup.go
@@ -60,10 +60,12 @@
 }
 
 // jobEvent passes an event to the leader of the job group. Calls that this process
-// cannot answer are redirected.
+// cannot answer are redirected. Results of orders are passed on also while the leader
+// holds no lease: they are facts, what follows from them takes effect only when it is
+// committed, and an order whose result is dropped would count as under way for ever.
 func (n *Node) jobEvent(e JobEvent) {
 	if e.Token == 0 {
-		if r := n.replicas[JobGroup]; r != nil && r.lead != nil && r.raft.HasLease(n.clock.Now) {
+		if r := n.replicas[JobGroup]; r != nil && r.lead != nil {
 			r.lead.jobs.Advance(n.clock.Now, n.clock.WallMS)
 			r.lead.jobs.Handle(e.Event)
 		}
--- /dev/null
+++ b/coordination/jobgroup_test.go
@@ -0,0 +1,168 @@
+package coordination
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/coordination/scheduling"
+	"github.com/primrosereach/primrosereach/state"
+	"github.com/primrosereach/primrosereach/state/job"
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+const (
+	hopTime  = time.Millisecond     // of a message between members
+	syncTime = 5 * time.Millisecond // of a write
+	stepTime = time.Millisecond
+)
+
+// jobGroupTest runs the members of a job group in virtual time. Orders to workers are
+// collected, not carried out.
+type jobGroupTest struct {
+	t       *testing.T
+	now     time.Duration
+	nodes   []*Node
+	cut     []bool // members that exchange no messages
+	pending []delivery
+	orders  []jobs.Effect
+	answers map[Token]Answer
+}
+
+type delivery struct {
+	at   time.Duration
+	node int
+	from int
+	ev   Event
+}
+
+func newJobGroupTest(t *testing.T) *jobGroupTest {
+	g := &jobGroupTest{t: t, cut: make([]bool, 3), answers: map[Token]Answer{}}
+	names := []string{"a", "b", "c"}
+	var contacts []state.Member
+	for _, n := range names {
+		contacts = append(contacts, state.Member{Name: n, Address: n})
+	}
+	for i, n := range names {
+		g.nodes = append(g.nodes, New(Config{
+			Self: state.Member{Name: n, Incarnation: uint64(i + 1), Address: n, Disk: true}, Rand: rand.New(rand.NewPCG(uint64(i), 1)),
+			Jobs: &JobConfig{
+				Founders: names, Contacts: contacts, Losses: 1, Address: func(name string) string { return name },
+				Bounds: jobs.Bounds{MaxLease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangWait: 3 * time.Second, StatusTime: 2 * time.Minute, FarFactor: 2},
+			},
+		}, g.clock()))
+	}
+	return g
+}
+
+func (g *jobGroupTest) clock() scheduling.Clock {
+	return scheduling.Clock{Now: g.now, WallMS: 1_700_000_000_000 + g.now.Milliseconds()}
+}
+
+func (g *jobGroupTest) step(i int, ev Event) {
+	for _, e := range g.nodes[i].Step(g.clock(), ev) {
+		switch e := e.(type) {
+		case SendPeer:
+			if to := slices.Index([]string{"a", "b", "c"}, e.Address); to >= 0 {
+				g.pending = append(g.pending, delivery{g.now + hopTime, to, i, PeerMessage{Group: JobGroup, Message: e.Message}})
+			}
+		case Persist:
+			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, Persisted{Group: e.Group, Batch: e.Batch}})
+		case Reply:
+			g.answers[e.Token] = e.Answer
+		case JobEffect:
+			g.orders = append(g.orders, e.Effect)
+		}
+	}
+}
+
+// run lets time pass.
+func (g *jobGroupTest) run(d time.Duration) {
+	for end := g.now + d; g.now < end; g.now += stepTime {
+		due := g.pending
+		g.pending = nil
+		for _, m := range due {
+			switch {
+			case m.at > g.now:
+				g.pending = append(g.pending, m)
+			case m.node == m.from || !g.cut[m.node] && !g.cut[m.from]:
+				g.step(m.node, m.ev)
+			}
+		}
+		for i := range g.nodes {
+			g.step(i, Tick{})
+		}
+	}
+}
+
+// leader returns the member that leads, -1 for none.
+func (g *jobGroupTest) leader() int {
+	for i, n := range g.nodes {
+		if r := n.replicas[JobGroup]; r.lead != nil && !g.cut[i] {
+			return i
+		}
+	}
+	return -1
+}
+
+func (g *jobGroupTest) call(i int, token Token, ev jobs.Event) { g.step(i, JobEvent{token, ev}) }
+
+// observations returns the orders to observe a worker.
+func (g *jobGroupTest) observations() []jobs.Observe {
+	var out []jobs.Observe
+	for _, e := range g.orders {
+		if o, ok := e.(jobs.Observe); ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Guards against a worker that is never observed again: a leader that was cut off for a
+// moment held no lease when the answer to an observation came, and dropped it.
+// Found by the soak, seed 124.
+func TestResultOfOrderWithoutLeaseIsKept(t *testing.T) {
+	g := newJobGroupTest(t)
+	g.run(2 * time.Second)
+	l := g.leader()
+	if l < 0 {
+		t.Fatal("no leader after 2 s")
+	}
+	g.call(l, 1, jobs.Configure{Token: 1, Configuration: job.Configuration{
+		Version: 1, Document: []byte("{}"), Pools: []job.Pool{{Name: "p"}},
+		Queues: []job.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, TimeoutMS: 3000}},
+	}})
+	worker := job.Worker{Incarnation: job.Incarnation{ID: "w", BornMS: 5}, Address: "w:1", Pool: "p", Capacity: resource.Amount{MilliCores: 8000, MemoryMB: 1000}}
+	g.call(l, 2, jobs.Announce{Token: 2, Worker: worker, ClockMS: 100, Sequence: 1})
+	g.run(100 * time.Millisecond)
+	seen := g.observations()
+	if len(seen) != 1 {
+		t.Fatalf("%d observations of a new worker", len(seen))
+	}
+	g.cut[l] = true
+	g.run(450 * time.Millisecond) // the lease of 400 ms is over, elections begin after 500 ms
+	if r := g.nodes[l].replicas[JobGroup]; r.lead == nil || r.raft.HasLease(g.now) {
+		t.Fatal("the member should lead without a lease")
+	}
+	g.step(l, JobEvent{Event: jobs.Observed{Observe: seen[0], Result: jobs.OrderDone, ClockMS: 200}})
+	g.cut[l] = false
+	g.run(400 * time.Millisecond)
+	if g.leader() != l {
+		t.Fatal("another member was elected meanwhile")
+	}
+	g.call(l, 3, jobs.Submit{Token: 3, Host: "h", Path: "/q/1", Submission: job.Submission{ID: "1", Steps: []job.Step{{Count: 1, PerTask: resource.Amount{MilliCores: 1000}}}}})
+	g.run(time.Second)
+	for _, e := range g.orders {
+		if s, ok := e.(jobs.StartRun); ok {
+			g.step(l, JobEvent{Event: jobs.StartAnswered{Start: s, Result: jobs.OrderDone, ClockMS: 300}})
+			g.run(300 * time.Millisecond)
+			if n := len(g.observations()); n < 2 {
+				t.Errorf("the worker runs a task and is not observed")
+			}
+			return
+		}
+	}
+	t.Errorf("the task was not started")
+}
--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -44,7 +44,7 @@
 		if r.phase == unconfirmed {
 			l.log("info", "adopt", r.ref.String(), w.ID, "runs since before this term", "run", r.number)
 		}
-		r.phase, r.since, r.progressAt = running, l.now, l.now
+		r.phase, r.since, r.progressAt, r.confirmed = running, l.now, l.now, true
 		l.taskBegun(r.ref.Job)
 		j := l.state.Job(r.ref.Job)
 		if j == nil || j.Phase.Final() {
--- /dev/null
+++ b/coordination/jobs/load_test.go
@@ -0,0 +1,191 @@
+package jobs
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+	"github.com/primrosereach/primrosereach/state/resource"
+)
+
+// workClass is a kind of job in a load pattern.
+type workClass struct {
+	path       string
+	perSecond  float64
+	steps      float64 // mean
+	width      float64 // mean tasks of a step
+	gangShare  float64
+	saves      bool
+	milliCores float64
+	memoryMB   float64
+	runMS      float64
+}
+
+// loadPattern is traffic on a set of workers, in the shape of the users' deployments.
+type loadPattern struct {
+	workers int
+	classes []workClass
+	burst   float64 // factor on the first class from burstAt for burstTime
+	length  time.Duration
+}
+
+const (
+	burstAt   = 6 * time.Second
+	burstTime = 4 * time.Second
+)
+
+// claimsPattern is the claims service: lookups, checks and reviews, which are gangs. scale
+// multiplies workers and traffic.
+func claimsPattern(scale float64) loadPattern {
+	return loadPattern{
+		workers: int(48 * scale), burst: 2.3, length: 16 * time.Second,
+		classes: []workClass{
+			{path: "/u/", perSecond: 27 * scale, steps: 1, width: 2, gangShare: 0.3, milliCores: 5600, memoryMB: 11_000, runMS: 850},
+			{path: "/m/", perSecond: 1.0 * scale, steps: 1.2, width: 8, gangShare: 1, saves: true, milliCores: 18_000, memoryMB: 68_000, runMS: 5300},
+			{path: "/b/", perSecond: 3.8 * scale, steps: 1.5, width: 10, saves: true, milliCores: 3900, memoryMB: 11_000, runMS: 2900},
+		},
+	}
+}
+
+// overload multiplies the traffic.
+func (p loadPattern) overload(factor float64) loadPattern {
+	classes := append([]workClass(nil), p.classes...)
+	for i := range classes {
+		classes[i].perSecond *= factor
+	}
+	p.classes = classes
+	return p
+}
+
+// loadResult is what callers saw.
+type loadResult struct {
+	jobs, inTime map[string]int
+	waitMS       map[string][]float64 // from acceptance to completion
+}
+
+// share returns the share of a class's jobs that were done by their objective.
+func (r *loadResult) share(path string) float64 {
+	return float64(r.inTime[path]) / math.Max(1, float64(r.jobs[path]))
+}
+
+// playLoad runs a pattern and returns what became of the jobs that came in it.
+func playLoad(t testing.TB, seed uint64, p loadPattern) (*world, *loadResult) {
+	w := newWorld(t, seed)
+	w.goodShare = 0.5
+	w.configureLoad()
+	for i := range p.workers {
+		x := w.addWorker(fmt.Sprintf("w%03d", i), 64)
+		x.capacity.MemoryMB = 256_000
+		x.speed = []float64{0.6, 1, 1.6}[i%3]
+		x.domain = fmt.Sprint("d", i%3)
+	}
+	w.heartbeats()
+	w.run(300 * time.Millisecond)
+	for i := range p.classes {
+		w.arrive(&p, &p.classes[i], 0)
+	}
+	w.run(p.length + 8*time.Second)
+	return w, w.loadResult(p.length)
+}
+
+func (w *world) configureLoad() {
+	advice := func(decide, each float64) *job.Advice {
+		return &job.Advice{DecideMS: decide, EachMS: each, ValidMS: 2000}
+	}
+	w.advice = true
+	w.apply(&job.Command{Configure: &job.Configuration{
+		Version: 1, Pools: []job.Pool{{Name: "p"}},
+		Queues: []job.Queue{
+			{Name: "lookup", Host: "h", Prefix: "/u/", Pool: "p", MaxAttempts: 2, TimeoutMS: 3000, Stretch: 1.5, TargetLatencyMS: 250, Advice: advice(8.7, 0.12)},
+			{Name: "review", Host: "h", Prefix: "/m/", Pool: "p", Priority: 1, MaxAttempts: 4, TimeoutMS: 3000, Stretch: 2.2, TargetLatencyMS: 1000, Advice: advice(480, 6.9)},
+			{Name: "check", Host: "h", Prefix: "/b/", Pool: "p", Priority: 2, MaxAttempts: 3, TimeoutMS: 3000, Stretch: 4, TargetLatencyMS: 3000, Advice: advice(62, 0.88)},
+		},
+	}})
+}
+
+// arrive submits the next job of a class and plans the one after it.
+func (w *world) arrive(p *loadPattern, c *workClass, n int) {
+	rate := c.perSecond
+	if c == &p.classes[0] && w.now > burstAt && w.now < burstAt+burstTime {
+		rate *= p.burst
+	}
+	gap := time.Duration(w.rng.ExpFloat64() / rate * float64(time.Second))
+	if w.now+gap > p.length {
+		return
+	}
+	w.after(gap, func() {
+		w.submit(c.path, w.draw(c, job.ID(fmt.Sprintf("%s%05d", c.path[1:2], n))))
+		w.arrive(p, c, n+1)
+	})
+}
+
+// draw returns a job with the sizes of its class.
+func (w *world) draw(c *workClass, id job.ID) job.Submission {
+	spread := func(mean, sigma float64) float64 {
+		return mean * math.Exp(w.rng.NormFloat64()*sigma-sigma*sigma/2)
+	}
+	s := job.Submission{ID: id}
+	gang := w.rng.Float64() < c.gangShare
+	for i := range max(1, int(math.Round(spread(c.steps, 0.4)))) {
+		st := job.Step{
+			Count: max(1, int(math.Round(spread(c.width, 0.8)))), Gang: gang, Checkpointing: c.saves,
+			PerTask:    resource.Amount{MilliCores: min(30_000, int(spread(c.milliCores, 0.4))), MemoryMB: min(140_000, int(spread(c.memoryMB, 0.5)))},
+			EstimateMS: int64(spread(c.runMS, 0.5)),
+		}
+		st.Count = min(st.Count, int(6*c.width))
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		s.Steps = append(s.Steps, st)
+	}
+	return s
+}
+
+// loadResult judges the jobs that were accepted before a time.
+func (w *world) loadResult(before time.Duration) *loadResult {
+	out := &loadResult{jobs: map[string]int{}, inTime: map[string]int{}, waitMS: map[string][]float64{}}
+	w.state.Jobs(func(j *job.Job) bool {
+		if j.AcceptedMS > testEpochMS+before.Milliseconds() {
+			return true
+		}
+		q := w.state.QueueOf(j)
+		out.jobs[q.Prefix]++
+		spec := w.specs[j.ID]
+		chain, _ := criticalPath(spec.Steps)
+		objective := int64(q.Stretch*float64(chain)) + q.TargetLatencyMS
+		took := j.FinalMS - j.AcceptedMS
+		if j.Phase == job.Completed {
+			out.waitMS[q.Prefix] = append(out.waitMS[q.Prefix], float64(took))
+			if took <= objective {
+				out.inTime[q.Prefix]++
+			}
+		}
+		return true
+	})
+	return out
+}
+
+// BenchmarkLoad measures what the leader's decisions cost at the load of the users'
+// deployments: of today, grown, and grown with twice the work that the workers can do.
+func BenchmarkLoad(b *testing.B) {
+	for _, c := range []struct {
+		name    string
+		pattern loadPattern
+	}{
+		{"today", claimsPattern(1)},
+		{"grown", claimsPattern(7.3)},
+		{"grown-overload", claimsPattern(7.3).overload(2)},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				w, r := playLoad(b, 1, c.pattern)
+				b.ReportMetric(w.leaderTime.Seconds()/w.now.Seconds(), "leader-cores")
+				for _, path := range []string{"/u/", "/m/", "/b/"} {
+					b.ReportMetric(r.share(path), "in-time"+path[1:2])
+				}
+			}
+		})
+	}
+}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -47,8 +47,7 @@
 		l.compare(w, &e)
 		l.dirty = true
 	case OrderOtherLife:
-		l.log("info", "worker gone", "", w.ID, "another life answers at its address")
-		l.endWorker(w, false)
+		l.otherLife(w)
 	default:
 		w.observeAt = l.now + observeRetry
 		w.misses++
--- a/coordination/jobs/report.go
+++ b/coordination/jobs/report.go
@@ -12,6 +12,10 @@
 		}
 	}
 	known := l.state.Worker(e.Worker.ID)
+	if known != nil && known.BornMS < e.Worker.BornMS && !l.mayReplace(known.ID) {
+		l.host.Reply(e.Token, unavailable("runs of the worker's last life are being excluded"))
+		return
+	}
 	if known == nil || known.BornMS < e.Worker.BornMS {
 		rec := e.Worker
 		ok := l.propose(&job.Command{Join: &rec}, func(_ job.Applied, committed bool) {
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -32,8 +32,10 @@
 	calling    bool          // an order for it is under way
 	nextTry    time.Duration // of that order
 	tries      int
-	unanswered bool // a start was not answered; it may be carried out late
-	stopped    bool // the worker has confirmed the stop
+	unanswered bool          // a start was not answered; it may be carried out late
+	confirmed  bool          // the worker has answered the start, or listed the run
+	stopped    bool          // the worker has confirmed the stop
+	excluded   time.Duration // when the next life of the worker has confirmed the stop, 0 if it has not
 	ticket     string
 	reason     string // of the stop
 
@@ -53,13 +55,15 @@
 		r := &run{ref: ref, number: it.Run, phase: starting, since: l.now, assigned: l.now, progressAt: l.now, ticket: s.ticket(w)}
 		w.runs[ref] = r
 		s.runs[it.Index] = r
-		l.tendRun(w, r)
+		if !w.leaving && !w.replaced {
+			l.tendRun(w, r)
+		}
 	}
 }
 
 // tendRun sends the order that a run is due for.
 func (l *Leader) tendRun(w *worker, r *run) {
-	if r.calling || r.phase == running || r.phase == unconfirmed || r.phase == stopping && r.stopped {
+	if r.calling || r.phase == running || r.phase == unconfirmed || r.phase == stopping && (r.stopped || r.excluded > 0) {
 		return
 	}
 	if l.now < r.nextTry {
@@ -98,7 +102,7 @@
 	if w == nil || w.Incarnation != o.Worker {
 		return nil, nil
 	}
-	if result != OrderNoAnswer {
+	if result != OrderNoAnswer && result != OrderOtherLife {
 		w.hear(l.now, clockMS)
 	}
 	l.touch(w)
@@ -112,16 +116,21 @@
 
 func (l *Leader) startAnswered(e StartAnswered) {
 	w, r := l.answeredRun(e.Start.Order, e.Start.TaskRef, e.Start.Run, e.Result, e.ClockMS)
+	if w != nil && e.Result == OrderOtherLife {
+		l.otherLife(w)
+		return
+	}
 	if r == nil {
 		return
 	}
 	if r.phase != starting {
 		r.unanswered = r.unanswered || e.Result == OrderNoAnswer
+		r.confirmed = r.confirmed || e.Result == OrderDone
 		return
 	}
 	switch e.Result {
 	case OrderDone:
-		r.phase, r.since, r.progressAt = running, l.now, l.now
+		r.phase, r.since, r.progressAt, r.confirmed = running, l.now, l.now, true
 		l.taskBegun(r.ref.Job)
 		l.log("debug", "start", r.ref.String(), w.ID, "started", "run", r.number)
 	case OrderNoAnswer, OrderLate, OrderFenced:
@@ -138,8 +147,6 @@
 			}
 			l.stopRun(w, r, "the start was not answered")
 		}
-	case OrderOtherLife:
-		l.endWorker(w, false)
 	default:
 		l.startRejected(w, r, e.Result)
 	}
@@ -183,7 +190,10 @@
 			w.urgent, w.observeAt = true, l.now
 		}
 	case OrderOtherLife:
-		l.endWorker(w, false)
+		if r.excluded == 0 {
+			r.excluded = l.now
+		}
+		l.otherLife(w)
 	default:
 		r.nextTry = l.now + orderRetry
 		if e.Result == OrderNoAnswer && r.tries >= maxStartTries {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -46,6 +46,7 @@
 	misses    int           // observations in a row that were not answered
 	silent    bool          // orders were not answered; no new work until one is
 	leaving   bool          // the end of its runs is being committed
+	replaced  bool          // another life answers at its address
 	observing bool
 	urgent    bool          // the answer to the next observation is needed at once
 	observeAt time.Duration // of the next observation
@@ -163,10 +164,15 @@
 	if w.leaving {
 		return
 	}
-	l.tendObservation(w)
+	if !w.replaced {
+		l.tendObservation(w)
+	}
 	for _, r := range w.sortedRuns() {
 		l.tendRun(w, r)
 	}
+	if w.replaced {
+		l.endReplaced(w)
+	}
 	l.checkLost(w)
 }
 
@@ -221,6 +227,6 @@
 	if s := l.suspects[w.rec.Domain]; l.now < s.until && w.heard <= s.since {
 		return false
 	}
-	return !w.silent && w.misses == 0 && !w.leaving && !w.rec.Draining && w.clockMS > 0 &&
+	return !w.silent && w.misses == 0 && !w.leaving && !w.replaced && !w.rec.Draining && w.clockMS > 0 &&
 		(len(w.runs) > 0 || l.now-w.heard < staleAfter) && !w.failures.quarantined(l.now)
 }
--- a/coordination/jobs/worker_test.go
+++ b/coordination/jobs/worker_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/state/job"
@@ -32,6 +33,7 @@
 	leavingSince       time.Duration
 	failShare          float64
 	hang               bool
+	speed              float64
 }
 
 type fakeRun struct {
@@ -46,7 +48,7 @@
 }
 
 func (w *world) addWorker(id string, cores int) *fakeWorker {
-	x := &fakeWorker{w: w, id: id, address: id + ":1", slow: 0.98 + 0.02*w.rng.Float64(), capacity: resource.Amount{MilliCores: cores * 1000, MemoryMB: 64000}}
+	x := &fakeWorker{w: w, id: id, address: id + ":1", slow: 0.98 + 0.02*w.rng.Float64(), speed: 1, capacity: resource.Amount{MilliCores: cores * 1000, MemoryMB: 64000}}
 	x.begin(id)
 	w.workers[x.address] = x
 	return x
@@ -69,8 +71,10 @@
 	return 1 + int64(float64((x.w.now-x.bornAt).Milliseconds())*x.slow)
 }
 
+// accepts checks what a worker checks: an order names its ID, but not its life, and a
+// restarted worker may have the same ID.
 func (x *fakeWorker) accepts(o Order) OrderResult {
-	if o.Worker.ID != x.id || o.Worker.BornMS != x.born {
+	if o.Worker.ID != x.id {
 		return OrderOtherLife
 	}
 	if o.Term < x.fence {
@@ -80,6 +84,15 @@
 	return OrderDone
 }
 
+// answer returns the result that the caller of an order sees: it compares the life that
+// answered with the one that it meant.
+func (x *fakeWorker) answer(o Order, r OrderResult) OrderResult {
+	if o.Worker.BornMS != x.born {
+		return OrderOtherLife
+	}
+	return r
+}
+
 func (x *fakeWorker) extend(until int64) {
 	x.until = max(x.until, min(until, x.clock()+testMaxLease.Milliseconds()))
 }
@@ -105,9 +118,11 @@
 	x.checkStart(e)
 	spec := x.w.specs[e.Job].Steps[e.Step]
 	r := &fakeRun{number: e.Run, need: spec.Reserved(), started: x.w.now, fails: x.w.rng.Float64() < x.failShare}
-	r.work = time.Duration(float64(spec.EstimateMS)*(0.5+x.w.rng.Float64())) * time.Millisecond
+	r.work = time.Duration(float64(spec.EstimateMS)*(0.5+x.w.rng.Float64())/x.speed) * time.Millisecond
 	if spec.Gang {
 		r.gang = spec.Count
+		run := gangRun{e.StepRef, e.Run}
+		x.w.gangs[run] = append(x.w.gangs[run], member{x, e.TaskRef})
 	} else {
 		r.begun = x.w.now
 	}
@@ -155,6 +170,9 @@
 	if r := x.accepts(e.Order); r != OrderDone {
 		return Observed{Observe: *e, Result: r, ClockMS: x.clock()}
 	}
+	if r := x.answer(e.Order, OrderDone); r != OrderDone {
+		return Observed{Observe: *e, Result: r, ClockMS: x.clock()}
+	}
 	if e.UntilMS > 0 {
 		x.extend(e.UntilMS)
 	}
@@ -280,16 +298,20 @@
 	ref job.TaskRef
 }
 
-// gang returns the members of a gang's run that are present.
+// gangRun identifies one run of a gang.
+type gangRun struct {
+	job.StepRef
+	number int
+}
+
+// gang returns the members of a gang's run that are present, by task.
 func (w *world) gang(ref job.TaskRef, number int) []member {
 	var out []member
-	for _, x := range w.sorted() {
-		for _, other := range x.refs() {
-			r := x.runs[other]
-			if other.StepRef == ref.StepRef && r.number == number && !x.dead {
-				out = append(out, member{x, other})
-			}
+	for _, m := range w.gangs[gangRun{ref.StepRef, number}] {
+		if r := m.x.runs[m.ref]; r != nil && r.number == number && !m.x.dead {
+			out = append(out, m)
 		}
 	}
+	slices.SortFunc(out, func(a, b member) int { return job.CompareTasks(a.ref, b.ref) })
 	return out
 }
--- a/coordination/jobs/world_test.go
+++ b/coordination/jobs/world_test.go
@@ -16,7 +16,7 @@
 // world runs leaders against fake workers in virtual time and checks after every event
 // that no promise is broken.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	checked time.Duration // time of the last check
 	rng     *rand.Rand
 	seed    uint64
@@ -44,6 +44,8 @@
 	goodShare   float64
 	advice      bool
 	alone       int // members of gangs that waited in vain
+	gangs       map[gangRun][]member
+	leaderTime  time.Duration // that the leader's decisions have taken
 	lines       []string
 }
 
@@ -79,11 +81,11 @@
 	return x
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: job.New(), workers: map[string]*fakeWorker{},
 		good: map[string]bool{}, answers: map[Token]Answer{}, done: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, failed: map[job.TaskRef]int{},
-		gone: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, goodShare: 0.8,
+		gone: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, goodShare: 0.8,
 	}
 	w.elect()
 	return w
@@ -132,14 +134,18 @@
 	if !w.up {
 		return
 	}
+	began := time.Now()
 	w.leader.Advance(w.now, w.wallMS())
 	w.leader.Handle(e)
+	w.leaderTime += time.Since(began)
 	w.work()
 }
 
 func (w *world) work() {
+	began := time.Now()
 	w.leader.Advance(w.now, w.wallMS())
 	w.leader.Work()
+	w.leaderTime += time.Since(began)
 }
 
 // run plays until a time.
@@ -294,12 +300,11 @@
 		w.after(w.between(10*time.Millisecond, 60*time.Millisecond), func() { w.handle(h.advise(e)) })
 	case StartRun:
 		w.deliver(e.Order, func(x *fakeWorker) Event {
-			r := x.start(&e)
-			return StartAnswered{Start: e, Result: r, ClockMS: x.clock()}
+			return StartAnswered{Start: e, Result: x.answer(e.Order, x.start(&e)), ClockMS: x.clock()}
 		}, StartAnswered{Start: e, Result: OrderNoAnswer})
 	case StopRun:
 		w.deliver(e.Order, func(x *fakeWorker) Event {
-			return StopAnswered{Stop: e, Result: x.stop(&e), ClockMS: x.clock()}
+			return StopAnswered{Stop: e, Result: x.answer(e.Order, x.stop(&e)), ClockMS: x.clock()}
 		}, StopAnswered{Stop: e, Result: OrderNoAnswer})
 	case Observe:
 		w.observe(e)
