--- a/protocol/settings/site.go
+++ b/protocol/settings/site.go
@@ -38,6 +38,7 @@
 	Callers string `json:"callers"`
 	Ready   string `json:"ready"`
 	Control string `json:"control"`
+	Peers   string `json:"peers"` // where other processes connect, if it is not the IP and peer port of this process
 }
 
 // SiteBounds are limits that the deployment sets.
@@ -91,7 +92,7 @@
 			c.addf("seeds["+strconv.Itoa(i)+"]", "%q is not IP:port", seed)
 		}
 	}
-	for path, v := range map[string]string{"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "listen.control": s.Listen.Control} {
+	for path, v := range map[string]string{"listen.callers": s.Listen.Callers, "listen.ready": s.Listen.Ready, "listen.control": s.Listen.Control, "listen.peers": s.Listen.Peers} {
 		if _, err := netip.ParseAddrPort(v); v != "" && err != nil {
 			c.addf(path, "%q is not IP:port", v)
 		}
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -65,8 +66,14 @@
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: namespace + name, Help: help, Buckets: secondsBuckets}, labels)
 }
 
+// handler serves the metrics and, for an engineer who looks for the cause of a load, the
+// profiles of the process.
 func (m *metrics) handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
 }
 
 // called counts a call to the leader.
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -193,7 +194,7 @@
 		add(x.settings.Listen.Control, x.platform.Control(x.client, x.draining.Load))
 	}
 	add(x.settings.Listen.Ready, x.readyHandler())
-	add(x.settings.PeerAddress(), peers)
+	add(cmp.Or(x.settings.Listen.Peers, x.settings.PeerAddress()), peers)
 	if x.settings.MetricsPort > 0 {
 		add(net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metrics.handler())
 	}
