--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -374,7 +374,7 @@
 	for _, x := range w.workers {
 		x.cut = x.domain == "a"
 	}
-	w.run(w.now + observeWait + testTimeout + 100*time.Millisecond)
+	w.run(w.now + minObserveWait + testTimeout + 100*time.Millisecond)
 	if w.leader.usable(idle) {
 		t.Error("the idle worker still gets work")
 	}
