--- a/coordination/replication/election.go
+++ b/coordination/replication/election.go
@@ -10,7 +10,7 @@
 // Election timing. The reasons are in docs/design.md, section 3.
 const (
 	minElectionTimeout = 500 * time.Millisecond
-	maxElectionTimeout = 1000 * time.Millisecond
+	maxElectionTimeout = 750 * time.Millisecond
 
 	// A round that was not won is repeated sooner than a silent leader is given
 	// up: a split vote must not push the failover above 2 s. The lower bounds leave
--- a/coordination/replication/lease.go
+++ b/coordination/replication/lease.go
@@ -14,7 +14,7 @@
 
 	// contactTimeout: a leader that no majority has acknowledged for so long gives
 	// up. By then the others may have elected a successor.
-	contactTimeout = maxElectionTimeout
+	contactTimeout = time.Second
 
 	// transferTimeout bounds the time in which the leader refuses proposals while
 	// it waits for the successor to catch up.
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -61,7 +61,7 @@
 	began := time.Now()
 	a := c.repeat(ctx, op, began)
 	if isQueueLookup(ev) && a.Code == jobs.CodeUnknown {
-		a = jobs.Answer{Code: jobs.CodeUnavailable, Message: a.Message, RetryAfter: time.Second} // it changes nothing
+		a = jobs.Answer{Code: jobs.CodeUnavailable, Message: a.Message, RetryAfter: c.tracker.view.Load().retryAfter} // it changes nothing
 	}
 	took := time.Since(began)
 	c.called(string(op.Name), a.Code, took)
@@ -104,7 +104,7 @@
 // repeat attempts an operation until it is answered or ctx ends.
 func (c *Client) repeat(ctx context.Context, op protocol.Operation, began time.Time) jobs.Answer {
 	unknown := false
-	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: time.Second}
+	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: c.tracker.view.Load().retryAfter}
 	for {
 		a, outcome := c.attempt(ctx, op)
 		switch {
