jobs: tasks that fill are paced by the tail of the service tasks beside them

Cause: PaceRun was sent by nothing: a service task that misses its target because of what fills beside it would stay so (docs/platform.md listed it as not built). Such workers answer observations within 0.4 s, tasks that fill go where cores are idle, and a new leader sets the pace of the runs that it adopts.

--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -20,6 +20,7 @@
 			l.host.Emit(StopRun{Order: l.order(w), TaskRef: t.TaskRef, Run: t.Run})
 		}
 	}
+	l.pace(w)
 	var ends []job.RunEnd
 	noted := int64(0)
 	for i := range e.Ended {
@@ -51,6 +52,7 @@
 			l.stopRun(w, r, "the job is final")
 		}
 	}
+	r.usage = t.Usage
 	if t.Percent != r.percent || !r.begun && t.Percent > 0 {
 		r.percent, r.progressAt, r.begun = t.Percent, l.now, true
 	}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -18,8 +18,11 @@
 // observeWait is how long a worker that runs something may hold back its answer until a
 // run ends. With many workers it is longer, which bounds the observations of one leader:
 // the silence of a failure domain is still noticed early, by those of its workers whose
-// answers are due first.
-func (l *Leader) observeWait() time.Duration {
+// answers are due first. Where tasks that fill have to be paced it stays short.
+func (l *Leader) observeWait(w *worker) time.Duration {
+	if w.mixed {
+		return minObserveWait
+	}
 	return min(maxObserveWait, max(minObserveWait, time.Duration(len(l.byID))*time.Second/idleObservations))
 }
 
@@ -31,7 +34,7 @@
 		e.UntilMS = l.extendLease(w)
 	}
 	if !w.urgent && w.misses == 0 && !w.silent && w.acked >= w.rec.Noted-maxListedEnds && len(w.runs) > 0 {
-		e.WaitMS = int(l.observeWait().Milliseconds())
+		e.WaitMS = int(l.observeWait(w).Milliseconds())
 	}
 	w.observing, w.urgent = true, false
 	l.host.Emit(e)
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -107,6 +107,17 @@
 			out = append(out, candidate{w: w, room: room, speed: speed, near: w.rec.HasLabel(s.spec.DataRack)})
 		}
 	}
+	if s.spec.Filler {
+		slices.SortFunc(out, func(a, b candidate) int {
+			return cmp.Or(
+				compareBool(s.avoid[a.w.ID], s.avoid[b.w.ID]),
+				cmp.Compare(b.w.fill.percent(), a.w.fill.percent()),
+				cmp.Compare(l.idleCores(p, b.w), l.idleCores(p, a.w)),
+				cmp.Compare(a.w.ID, b.w.ID),
+			)
+		})
+		return out
+	}
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(
 			-compareBool(a.near, b.near),
@@ -119,6 +130,18 @@
 	return out
 }
 
+// idleCores returns the thousandths of a core that a worker's tasks leave idle, less
+// what the tasks that fill there can use.
+func (l *Leader) idleCores(p *pass, w *worker) int {
+	idle := p.free(w).MilliCores
+	for ref := range w.runs {
+		if s := l.steps[ref.StepRef]; s != nil && s.spec.Filler {
+			idle -= s.spec.PerTask.MilliCores
+		}
+	}
+	return idle
+}
+
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -39,6 +39,9 @@
 	ticket     string
 	reason     string // of the stop
 
+	usage      int  // tail of a service task's response times in milliseconds, thousandths of a core of others
+	pacing     bool // an order to change the pace is under way
+	slowedBy   int  // percent taken off the pace of a task that fills
 	percent    int
 	progressAt time.Duration // when percent last changed
 	begun      bool          // it has worked
@@ -133,6 +136,7 @@
 		r.phase, r.since, r.progressAt, r.confirmed = running, l.now, l.now, true
 		l.taskBegun(r.ref.Job)
 		l.log("debug", "start", r.ref.String(), w.ID, "started", "run", r.number)
+		l.pace(w) // a task starts at full pace
 	case OrderNoAnswer, OrderLate, OrderFenced:
 		r.unanswered = r.unanswered || e.Result == OrderNoAnswer
 		r.nextTry = l.now + orderRetry
@@ -230,5 +234,3 @@
 	}
 	return nil
 }
-
-func (l *Leader) paceAnswered(PaceAnswered) {}
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -61,6 +61,8 @@
 	pending   resource.Amount // of assignments that are being committed
 	next      time.Duration   // when tend has something to do, 0 for never
 	failures  streak
+	fill      pacer
+	mixed     bool // tasks that fill run beside service tasks with a target
 }
 
 // adopt starts to follow a worker. An earlier leader may have granted it a lease just
@@ -71,7 +73,7 @@
 		runs: map[job.TaskRef]*run{}, acked: -1, urgent: true, next: l.now,
 	}
 	for _, r := range rec.SortedTasks() {
-		w.runs[r] = &run{ref: r, number: rec.Tasks[r], phase: unconfirmed, since: l.now, assigned: l.now}
+		w.runs[r] = &run{ref: r, number: rec.Tasks[r], phase: unconfirmed, since: l.now, assigned: l.now, slowedBy: unknownPace}
 	}
 	l.workers[w.ID] = w
 	l.relist()
--- a/coordination/jobs/worker_test.go
+++ b/coordination/jobs/worker_test.go
@@ -45,6 +45,7 @@
 	fails   bool
 	stopAt  time.Duration // 0 unless it is being stopped
 	gang    int
+	slowed  int // percent taken off its pace
 }
 
 func (w *world) addWorker(id string, cores int) *fakeWorker {
@@ -183,11 +184,38 @@
 	out := Observed{Observe: *e, Result: OrderDone, ClockMS: x.clock(), Ended: append([]EndedRun(nil), x.ended...)}
 	for _, ref := range x.refs() {
 		r := x.runs[ref]
-		out.Running = append(out.Running, RunningTask{TaskRef: ref, Run: r.number, Percent: x.percent(r)})
+		out.Running = append(out.Running, RunningTask{TaskRef: ref, Run: r.number, Percent: x.percent(r), Usage: x.usage(ref)})
 	}
 	return out
 }
 
+// usage returns the tail of a service task, which rises with the pace of each task that
+// fills on the worker.
+func (x *fakeWorker) usage(ref job.TaskRef) int {
+	if !x.w.specs[ref.Job].Steps[ref.Step].Service {
+		return 0
+	}
+	tail := x.w.serviceTail
+	for other, r := range x.runs {
+		if x.w.specs[other.Job].Steps[other.Step].Filler {
+			tail += x.w.fillHarm * float64(100-r.slowed) / 100
+		}
+	}
+	return int(tail)
+}
+
+func (x *fakeWorker) pace(e *PaceRun) OrderResult {
+	if r := x.accepts(e.Order); r != OrderDone {
+		return r
+	}
+	r := x.runs[e.TaskRef]
+	if r == nil || r.number != e.Run {
+		return OrderSuperseded
+	}
+	r.slowed = 100 - e.Percent
+	return OrderDone
+}
+
 func (x *fakeWorker) percent(r *fakeRun) int {
 	if r.begun == 0 || x.hang {
 		return 0
@@ -240,7 +268,7 @@
 			x.joinGang(ref, r)
 		case r.gang > 0 && r.begun > 0 && len(x.w.gang(ref, r.number)) < r.gang:
 			x.end(ref, job.EndBroken)
-		case r.begun > 0 && !x.hang && now-r.begun >= r.work:
+		case r.begun > 0 && !x.hang && now-r.begun >= r.work && !x.w.specs[ref.Job].Steps[ref.Step].Service:
 			x.finish(ref, r)
 		}
 	}
--- a/coordination/jobs/world_test.go
+++ b/coordination/jobs/world_test.go
@@ -42,6 +42,8 @@
 
 	loseAnswers float64 // share of orders that are carried out late and not answered
 	goodShare   float64
+	serviceTail float64 // milliseconds, of a service task that is alone
+	fillHarm    float64 // milliseconds that a task that fills adds at full pace
 	advice      bool
 	alone       int // members of gangs that waited in vain
 	gangs       map[gangRun][]member
@@ -306,6 +308,10 @@
 		w.deliver(e.Order, func(x *fakeWorker) Event {
 			return StopAnswered{Stop: e, Result: x.answer(e.Order, x.stop(&e)), ClockMS: x.clock()}
 		}, StopAnswered{Stop: e, Result: OrderNoAnswer})
+	case PaceRun:
+		w.deliver(e.Order, func(x *fakeWorker) Event {
+			return PaceAnswered{Pace: e, Result: x.answer(e.Order, x.pace(&e))}
+		}, PaceAnswered{Pace: e, Result: OrderNoAnswer})
 	case Observe:
 		w.observe(e)
 	}
