--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -69,7 +69,8 @@
 	}
 	l.turn %= len(rest)
 	l.turn += l.tryPlace(p, rest[l.turn:], maxUnplacedInTurn)
-	l.dirty = true // the others have their turn in the next passes
+	l.dirty = true // the others have their turn in the next passes, which are further apart
+	l.nextSchedule = l.now + 2*scheduleInterval
 }
 
 // tryPlace places steps until a number of them could not be placed in full. It returns
