transport/site: a call that cannot be served is refused at once, an unknown one is given back early

Change: without contact for a second a call is refused without an attempt; a call that was not delivered waits 60 ms instead of 250 ms for a leader; one whose outcome is not known is answered as such after 0.4 of its caller's time, which leaves time to send it again. Retry-After is 1 s throughout.

--- a/coordination/gateway/gateway.go
+++ b/coordination/gateway/gateway.go
@@ -102,25 +102,6 @@
 	}
 }
 
-// outages are the times that callers are told to stay away, by the age of the last
-// contact. Callers try a few times only: an outage that outlasts an election is likely to
-// go on, and later tries reach further beyond its end.
-var outages = []struct{ age, retryAfter time.Duration }{
-	{4 * time.Second, 3 * time.Second},
-	{1500 * time.Millisecond, 2 * time.Second},
-	{0, time.Second},
-}
-
-// RetryAfter returns when a caller that is refused for want of a leader should come back.
-func (r *Router) RetryAfter(now time.Duration) time.Duration {
-	for _, o := range outages {
-		if r.met && now-r.contact >= o.age {
-			return o.retryAfter
-		}
-	}
-	return time.Second
-}
-
 // Ready reports whether the process can serve callers.
 func (r *Router) Ready(now time.Duration) bool {
 	return r.met && now-r.contact < contactTimeout
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -20,10 +20,16 @@
 	// attemptTimeout bounds one attempt of a call, so that a member that is cut off
 	// costs a call a moment and not its whole time.
 	attemptTimeout = 700 * time.Millisecond
-	// electionPatience is how long a call that has not been delivered waits for a
-	// leader before it is refused. An election takes longer; callers have other gateways
-	// to try and are told when to come back.
-	electionPatience = 250 * time.Millisecond
+	// electionPatience is how long a call that has not been delivered waits for a leader
+	// before it is refused. It covers a redirect to a new leader and no election: callers
+	// have other gateways to try, and waiting takes from the time in which they can.
+	electionPatience = 60 * time.Millisecond
+	// unknownShare is the share of a caller's time after which a call whose outcome is not
+	// known is answered as such. The rest is left for sending it again.
+	unknownShare = 0.4
+	// retryAfter is what callers are told while there is no leader: an election takes less,
+	// and they give up a few seconds after their first try, so longer pauses lose them.
+	retryAfter = time.Second
 	// attemptPause is the pause after a failed attempt.
 	attemptPause = 30 * time.Millisecond
 )
@@ -70,7 +76,7 @@
 	began := time.Now()
 	a := c.repeat(ctx, op, began)
 	if isQueueLookup(ev) && a.Code == jobs.CodeUnknown {
-		a = jobs.Answer{Code: jobs.CodeUnavailable, Message: a.Message, RetryAfter: c.tracker.view.Load().retryAfter} // it changes nothing
+		a = jobs.Answer{Code: jobs.CodeUnavailable, Message: a.Message, RetryAfter: retryAfter} // it changes nothing
 	}
 	a.Configuration = c.withDocument(a.Configuration, known)
 	took := time.Since(began)
@@ -127,7 +133,10 @@
 // repeat attempts an operation until it is answered or ctx ends.
 func (c *Client) repeat(ctx context.Context, op protocol.Operation, began time.Time) jobs.Answer {
 	unknown := false
-	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: c.tracker.view.Load().retryAfter}
+	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: retryAfter}
+	if !c.Ready() {
+		return last // the tracker looks for a leader all the time; trying here would only hold the caller
+	}
 	for {
 		a, outcome := c.attempt(ctx, op)
 		switch {
@@ -144,7 +153,10 @@
 		case outcome == undelivered:
 			last.Message = "no member of the job group that leads was reached"
 		}
-		patient := unknown || c.Ready() && time.Since(began) < electionPatience
+		patient := time.Since(began) < electionPatience
+		if unknown {
+			patient = time.Since(began) < unknownPatience(ctx, began)
+		}
 		if outcome != redirected && (!patient || !pause(ctx, attemptPause)) || ctx.Err() != nil {
 			break
 		}
@@ -155,6 +167,15 @@
 	return last
 }
 
+// unknownPatience returns how long a call whose outcome is not known is repeated.
+func unknownPatience(ctx context.Context, began time.Time) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return attemptTimeout
+	}
+	return time.Duration(unknownShare * float64(deadline.Sub(began)))
+}
+
 type outcome uint8
 
 const (
--- a/transport/site/tracker.go
+++ b/transport/site/tracker.go
@@ -13,8 +13,6 @@
 	target string // member to ask
 	leader bool   // target is believed to lead
 	ready  bool
-
-	retryAfter time.Duration // for a caller that is refused now
 }
 
 // tracker is the control goroutine of a process's router. Traffic goroutines read its
@@ -44,7 +42,7 @@
 
 func (t *tracker) publish() {
 	now := t.now()
-	t.view.Store(&view{target: t.router.Target(now), leader: t.router.Leader() != "", ready: t.router.Ready(now), retryAfter: t.router.RetryAfter(now)})
+	t.view.Store(&view{target: t.router.Target(now), leader: t.router.Leader() != "", ready: t.router.Ready(now)})
 }
 
 // note hands a report to the control goroutine without waiting for it.
