gateway: calls wait for an election that is under way

Change: the router notes members that answer that nobody leads. While they do, for at most 1.2 s, a call waits up to 0.9 s, without calling members, and is then sent; where no member answers, or none is elected in that time, it is refused at once as before.

--- a/coordination/gateway/gateway.go
+++ b/coordination/gateway/gateway.go
@@ -16,6 +16,11 @@
 	// new connections. Most elections take less, so that a change of leader does not take
 	// all processes out of rotation.
 	contactTimeout = time.Second
+	// electionTimeout is how long members that know no leader are taken to be about to elect
+	// one. Elections take less; members that are cut off from the others never succeed.
+	electionTimeout = 1200 * time.Millisecond
+	// memberTimeout is the silence after which what members said about an election is old.
+	memberTimeout = 300 * time.Millisecond
 	// silentTimeout is the time for which a member that failed is tried last.
 	silentTimeout = time.Second
 )
@@ -29,6 +34,9 @@
 	contact time.Duration // last answer of the leader
 	met     bool
 	next    int
+
+	electing   time.Duration // when members began to say that nobody leads, 0 if none does
+	electingAt time.Duration // when one said so last
 }
 
 // New returns a router that knows the seeds only.
@@ -67,6 +75,16 @@
 // NotLeader notes that a member neither leads nor knows who does.
 func (r *Router) NotLeader(now time.Duration, from string) {
 	r.Failed(now, from)
+	if r.electing == 0 || now-r.electingAt > silentTimeout {
+		r.electing = now
+	}
+	r.electingAt = now
+}
+
+// Electing reports whether members are about to elect a leader, so that waiting a moment
+// serves a caller sooner than sending it away.
+func (r *Router) Electing(now time.Duration) bool {
+	return r.electing > 0 && now-r.electing < electionTimeout && now-r.electingAt < memberTimeout
 }
 
 // Failed notes that a member did not answer.
@@ -79,7 +97,7 @@
 
 // Answered notes an answer of the leader and the members that it lists.
 func (r *Router) Answered(now time.Duration, leader string, members []string) {
-	r.leader, r.contact, r.met = leader, now, true
+	r.leader, r.contact, r.met, r.electing = leader, now, true, 0
 	delete(r.failed, leader)
 	if len(members) == 0 {
 		return
--- a/coordination/gateway/gateway_test.go
+++ b/coordination/gateway/gateway_test.go
@@ -71,3 +71,35 @@
 		t.Errorf("asked %v", seen)
 	}
 }
+
+// Guards against callers that are sent away for a second although a leader is elected
+// within a fraction of it, and against ones that are held where no election can succeed.
+func TestElectionIsNoticed(t *testing.T) {
+	r := New([]string{"a", "b"})
+	r.Answered(time.Second, "a", nil)
+	now := 2 * time.Second
+	r.Failed(now, "a")
+	if r.Electing(now) {
+		t.Error("no member has said that it elects a leader")
+	}
+	r.NotLeader(now, "b")
+	if !r.Electing(now + 100*time.Millisecond) {
+		t.Error("the election was not noticed")
+	}
+	for range 20 { // b is cut off from the others
+		now += 100 * time.Millisecond
+		r.NotLeader(now, "b")
+	}
+	if r.Electing(now) {
+		t.Error("an election is expected to succeed after 2 s")
+	}
+	now += 3 * time.Second // all members were down, and are back
+	r.NotLeader(now, "b")
+	if !r.Electing(now) {
+		t.Error("the next election was not noticed")
+	}
+	r.Answered(now, "b", nil)
+	if r.Electing(now) {
+		t.Error("the election is over")
+	}
+}
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -20,10 +20,12 @@
 	// attemptTimeout bounds one attempt of a call, so that a member that is cut off
 	// costs a call a moment and not its whole time.
 	attemptTimeout = 700 * time.Millisecond
-	// electionPatience is how long a call that has not been delivered waits for a leader
-	// before it is refused. It covers a redirect to a new leader and no election: callers
-	// have other gateways to try, and waiting takes from the time in which they can.
-	electionPatience = 60 * time.Millisecond
+	// electionPatience is how long a call that has not been delivered waits while members
+	// elect a leader. That takes less than the pause after a refusal.
+	electionPatience = 900 * time.Millisecond
+	// redirectPatience is the same while none does: it covers a redirect to a new leader.
+	// Callers have other gateways to try, and waiting takes from the time in which they can.
+	redirectPatience = 60 * time.Millisecond
 	// unknownShare is the share of a caller's time after which a call whose outcome is not
 	// known is answered as such. The rest is left for sending it again.
 	unknownShare = 0.4
@@ -130,14 +132,12 @@
 		"reason", a.Message, "phase", string(a.Phase), "took_ms", took.Milliseconds(), "leader", c.tracker.view.Load().target)
 }
 
-// repeat attempts an operation until it is answered or ctx ends.
+// repeat attempts an operation until it is answered or its patience ends.
 func (c *Client) repeat(ctx context.Context, op protocol.Operation, began time.Time) jobs.Answer {
 	unknown := false
 	last := jobs.Answer{Code: jobs.CodeUnavailable, Message: "no leader of the job group is known", RetryAfter: retryAfter}
-	if !c.Ready() {
-		return last // the tracker looks for a leader all the time; trying here would only hold the caller
-	}
-	for {
+	c.awaitElection(ctx, began)
+	for c.Ready() { // else the tracker looks for a leader; trying here would only hold the caller
 		a, outcome := c.attempt(ctx, op)
 		switch {
 		case outcome == answered && a.Code != jobs.CodeUnavailable && a.Code != jobs.CodeUnknown:
@@ -153,11 +153,15 @@
 		case outcome == undelivered:
 			last.Message = "no member of the job group that leads was reached"
 		}
-		patient := time.Since(began) < electionPatience
+		patience := redirectPatience
 		if unknown {
-			patient = time.Since(began) < unknownPatience(ctx, began)
+			patience = unknownPatience(ctx, began)
+		}
+		if outcome == redirected {
+			continue
 		}
-		if outcome != redirected && (!patient || !pause(ctx, attemptPause)) || ctx.Err() != nil {
+		elected := c.awaitElection(ctx, began)
+		if !elected && time.Since(began) >= patience || !pause(ctx, attemptPause) {
 			break
 		}
 	}
@@ -167,6 +171,16 @@
 	return last
 }
 
+// awaitElection waits while members elect a leader, without calling them, and reports
+// whether one was elected meanwhile.
+func (c *Client) awaitElection(ctx context.Context, began time.Time) bool {
+	waited := false
+	for c.tracker.view.Load().electing && time.Since(began) < electionPatience && pause(ctx, attemptPause) {
+		waited = true
+	}
+	return waited && c.Ready()
+}
+
 // unknownPatience returns how long a call whose outcome is not known is repeated.
 func unknownPatience(ctx context.Context, began time.Time) time.Duration {
 	deadline, ok := ctx.Deadline()
--- a/transport/site/tracker.go
+++ b/transport/site/tracker.go
@@ -13,6 +13,8 @@
 	target string // member to ask
 	leader bool   // target is believed to lead
 	ready  bool
+
+	electing bool // members are about to elect a leader
 }
 
 // tracker is the control goroutine of a process's router. Traffic goroutines read its
@@ -42,7 +44,7 @@
 
 func (t *tracker) publish() {
 	now := t.now()
-	t.view.Store(&view{target: t.router.Target(now), leader: t.router.Leader() != "", ready: t.router.Ready(now)})
+	t.view.Store(&view{target: t.router.Target(now), leader: t.router.Leader() != "", ready: t.router.Ready(now), electing: t.router.Electing(now)})
 }
 
 // note hands a report to the control goroutine without waiting for it.
