tests: the checks of metrics stand once

Cause: two packages had the same checks of documented names and naming conventions. Conclusion: none.

--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -4,16 +4,14 @@
 	"context"
 	"net/http/httptest"
 	"os"
-	"regexp"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
-
 	"github.com/primrosereach/primrosereach/coordination"
 	"github.com/primrosereach/primrosereach/coordination/replication"
 	"github.com/primrosereach/primrosereach/state"
+	"github.com/primrosereach/primrosereach/transport/metrics/metricstest"
 )
 
 type fixed coordination.Status
@@ -85,33 +83,10 @@
 	if !found || !ends {
 		t.Fatalf("the page has no section %q with another one after it", jobSection)
 	}
-	page = []byte(before + after)
-	rec := httptest.NewRecorder()
-	newExample().Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
-	names := regexp.MustCompile(`(primrosereach|process)_[a-z_]+`).FindAllString(string(page), -1)
-	for _, n := range names {
-		if !strings.Contains(rec.Body.String(), "\n"+n) {
-			t.Errorf("no metric %s", n)
-		}
-	}
-	if len(names) < 20 {
-		t.Errorf("%d names on the page", len(names))
-	}
+	metricstest.CheckDocumented(t, before+after, newExample().Handler(), 20)
 }
 
-// Names against the conventions make wrong queries likely.
+// Guards against names that make wrong queries likely.
 func TestNamesFollowTheConventions(t *testing.T) {
-	families, err := newExample().registry.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	problems, err := promlint.NewWithMetricFamilies(families).Lint()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, p := range problems {
-		if strings.HasPrefix(p.Metric, namespace) {
-			t.Errorf("%s: %s", p.Metric, p.Text)
-		}
-	}
+	metricstest.CheckConventions(t, newExample().registry, namespace)
 }
--- a/transport/site/metrics_test.go
+++ b/transport/site/metrics_test.go
@@ -1,17 +1,14 @@
 package site
 
 import (
-	"net/http/httptest"
 	"os"
-	"regexp"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
-
 	"github.com/primrosereach/primrosereach/coordination/jobs"
 	"github.com/primrosereach/primrosereach/state/job"
+	"github.com/primrosereach/primrosereach/transport/metrics/metricstest"
 )
 
 // example returns metrics with a sample of each.
@@ -34,34 +31,12 @@
 	}
 	_, section, _ := strings.Cut(string(page), "## Jobs on the users' platform")
 	section, _, _ = strings.Cut(section, "\n## ")
-	rec := httptest.NewRecorder()
-	example().handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
-	names := regexp.MustCompile(`primrosereach_[a-z_]+`).FindAllString(section, -1)
-	for _, n := range names {
-		if !strings.Contains(rec.Body.String(), "\n"+n) {
-			t.Errorf("no metric %s", n)
-		}
-	}
-	if len(names) < 5 {
-		t.Errorf("%d names in the section", len(names))
-	}
+	metricstest.CheckDocumented(t, section, example().handler(), 5)
 }
 
-// Names against the conventions make wrong queries likely.
+// Guards against names that make wrong queries likely.
 func TestNamesFollowTheConventions(t *testing.T) {
-	families, err := example().registry.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	problems, err := promlint.NewWithMetricFamilies(families).Lint()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, p := range problems {
-		if strings.HasPrefix(p.Metric, namespace) {
-			t.Errorf("%s: %s", p.Metric, p.Text)
-		}
-	}
+	metricstest.CheckConventions(t, example().registry, namespace)
 }
 
 // Guards against time series without bound: operators may configure hundreds of queues.
