--- a/transport/control/loop.go
+++ b/transport/control/loop.go
@@ -25,11 +25,11 @@
 // Loop connects the control goroutine, which calls Run, to all other goroutines, which
 // call Send and Call.
 type Loop struct {
-	// OnStep, if set, is called with the duration of each step. It must be set before
-	// Run.
-	OnStep func(time.Duration)
+	// OnStep, if set, is called after each step with the time for which its event was
+	// queued and the duration of the step. It must be set before Run.
+	OnStep func(queued, took time.Duration)
 
-	events chan coordination.Event
+	events chan queuedEvent
 	clock  *clock
 	tokens atomic.Uint64
 	done   chan struct{} // closed when Run returns
@@ -38,10 +38,16 @@
 	calls map[coordination.Token]chan coordination.Answer // calls that wait for their reply
 }
 
+// queuedEvent is an event with the time at which it was queued.
+type queuedEvent struct {
+	ev coordination.Event
+	at time.Time
+}
+
 // NewLoop returns a loop whose clock starts now.
 func NewLoop() *Loop {
 	return &Loop{
-		events: make(chan coordination.Event, eventBuffer),
+		events: make(chan queuedEvent, eventBuffer),
 		clock:  systemClock(),
 		done:   make(chan struct{}),
 		calls:  map[coordination.Token]chan coordination.Answer{},
@@ -62,26 +68,34 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var ev coordination.Event
+		e := queuedEvent{ev: coordination.Tick{}}
 		select {
 		case <-ctx.Done():
 			return
-		case ev = <-l.events:
+		case e = <-l.events:
 		case <-timer.C:
-			ev = coordination.Tick{}
 		}
+		queued := e.waited()
 		began := l.Clock()
-		for _, e := range node.Step(began, ev) {
+		for _, e := range node.Step(began, e.ev) {
 			l.execute(e, x)
 		}
 		now := l.Clock().Now
 		if l.OnStep != nil {
-			l.OnStep(now - began.Now)
+			l.OnStep(queued, now-began.Now)
 		}
 		timer.Reset(max(0, node.NextTick()-now))
 	}
 }
 
+// waited returns the time for which the event has been queued, 0 for a tick.
+func (e *queuedEvent) waited() time.Duration {
+	if e.at.IsZero() {
+		return 0
+	}
+	return time.Since(e.at)
+}
+
 func (l *Loop) execute(e coordination.Effect, x Executor) {
 	r, ok := e.(coordination.Reply)
 	if !ok {
@@ -101,7 +115,7 @@
 // reports false if ctx or the loop ended first.
 func (l *Loop) Send(ctx context.Context, ev coordination.Event) bool {
 	select {
-	case l.events <- ev:
+	case l.events <- queuedEvent{ev, time.Now()}:
 		return true
 	case <-ctx.Done():
 		return false
--- a/transport/daemon/serve.go
+++ b/transport/daemon/serve.go
@@ -58,7 +58,7 @@
 	p.peers = peer.NewClient(runCtx, &http.Client{Transport: p.tls.transport()}, p.tls.scheme(), p.access.OwnPeerToken(), p.logger)
 	p.tasks = endpoint.NewClient(runCtx, p.tls.transport(), p.tls.scheme(), p.loop, p.logger)
 	p.metrics = p.newMetrics(l)
-	p.loop.OnStep = p.metrics.ObserveStep
+	p.loop.OnStep = func(_, took time.Duration) { p.metrics.ObserveStep(took) }
 	requestTimeout := time.Duration(p.settings.Limits.RequestTimeoutMS) * time.Millisecond
 	api := httpapi.New(httpapi.Config{
 		Name: p.settings.Name, PeerAddress: p.settings.PeerAdvertise, Domains: coordination.Domains(peersOf(p.settings)),
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -40,6 +40,9 @@
 	token  string
 	logger hclog.Logger
 	ctx    context.Context
+	// OnCall, if set, is called with the operation of each call to another process. It
+	// must be set before the first call and must not block.
+	OnCall func(operation string)
 
 	mu      sync.Mutex
 	queues  map[string]chan replication.Message // messages to send, by address
@@ -121,10 +124,21 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
+	c.count(deliverOperation)
 	_, err := c.client(address).Deliver(ctx, c.request(req))
 	return err
 }
 
+// deliverOperation is the name under which OnCall counts calls that deliver replication
+// messages.
+const deliverOperation = "deliver"
+
+func (c *Client) count(operation string) {
+	if c.OnCall != nil {
+		c.OnCall(operation)
+	}
+}
+
 func (c *Client) request(m *peerv1.DeliverRequest) *connect.Request[peerv1.DeliverRequest] {
 	r := connect.NewRequest(m)
 	c.authorize(r.Header())
@@ -142,6 +156,7 @@
 func (c *Client) Forward(ctx context.Context, address string, op protocol.Operation) (protocol.Result, error) {
 	r := connect.NewRequest(protocol.EncodeOperation(op))
 	c.authorize(r.Header())
+	c.count(string(op.Name))
 	res, err := c.client(address).Forward(ctx, r)
 	if err != nil {
 		return protocol.Result{}, errors.Wrapf(err, "forward %s to %s", op.Name, address)
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -27,6 +27,7 @@
 	node   *coordination.Node
 	writer *persist.Writer
 	runCtx context.Context
+	load   controlLoad
 }
 
 // RunMember serves the job group until ctx ends, then transfers leadership and stops. It
@@ -44,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	m.loop.OnStep = func(d time.Duration) { m.metrics.step.Observe(d.Seconds()) }
+	m.loop.OnStep = m.observeStep
 	failed := make(chan error, 8)
 	servers, err := m.startListeners(m, m.loop, failed)
 	if err != nil {
@@ -69,6 +70,16 @@
 	}
 }
 
+// observeStep records one step of the control goroutine, and writes a log line about its
+// load once a second while events wait.
+func (m *member) observeStep(queued, took time.Duration) {
+	m.metrics.step.Observe(took.Seconds())
+	m.metrics.queued.Observe(queued.Seconds())
+	if line, ok := m.load.add(time.Now(), queued, took); ok {
+		m.logger.Info("load of the control goroutine", line...)
+	}
+}
+
 // handoverDelay gives another member time to take over leadership before the listeners
 // close.
 const handoverDelay = balancerDelay / 4
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -32,6 +32,8 @@
 	decisions   *prometheus.CounterVec
 	wait, total *prometheus.HistogramVec
 	step        prometheus.Histogram
+	queued      prometheus.Histogram
+	peerCalls   *prometheus.CounterVec
 	queues      map[string]bool // queues that have their own time series
 }
 
@@ -47,9 +49,13 @@
 		step: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: namespace + "control_step_seconds", Help: "Time that the control goroutine takes for one event.", Buckets: []float64{1e-4, 1e-3, 5e-3, .01, .05, .1, .5},
 		}),
-		queues: map[string]bool{},
+		queued: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: namespace + "control_queue_seconds", Help: "Time that an event is queued before the control goroutine handles it.", Buckets: []float64{1e-3, 5e-3, .01, .025, .05, .1, .25, .5, 1, 2.5},
+		}),
+		peerCalls: counter("peer_calls_total", "Calls to other processes, by operation; deliver carries replication messages.", "operation"),
+		queues:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: namespace + "ready", Help: "1 if the process serves callers."}, func() float64 {
 			if ready() {
 				return 1
--- a/transport/site/metrics_test.go
+++ b/transport/site/metrics_test.go
@@ -20,6 +20,8 @@
 	m.observeMeasurement(jobs.Measure{Metric: jobs.MetricWait, Queue: "q", Value: time.Millisecond})
 	m.observeMeasurement(jobs.Measure{Metric: jobs.MetricTotal, Queue: "q", Phase: job.Failed, Value: time.Second})
 	m.step.Observe(0.001)
+	m.queued.Observe(0.001)
+	m.peerCalls.WithLabelValues("deliver").Inc()
 	return m
 }
 
