--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -244,6 +244,7 @@
 		s.advice.nextRequest = l.now + adviceRetry
 		return
 	}
+	l.waitingStats.adviceRequested++
 	agent.busyUntil = max(agent.busyUntil, l.now) + cost
 	timeout := agent.busyUntil - l.now + adviceTimeoutMargin
 	s.advice.inFlight, s.advice.answerDeadline, s.advice.agent = true, l.now+timeout, agent.address
--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -13,6 +13,7 @@
 func (l *Leader) placeGang(p *schedulingPass, s *step, waiting []int) bool {
 	items := l.planGang(p, s, waiting)
 	if items != nil {
+		l.waitingStats.gangsAssigned++
 		l.assign(s, items)
 		return true
 	}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -60,6 +60,7 @@
 	approvalRates     map[string]*approvalRate     // by queue
 	speeds            *estimate.Estimator
 	waves             waves
+	waitingStats      waitingStats
 
 	takingOver        bool // NewLeader is loading the replicated state
 	needsSchedule     bool // a scheduling pass may be able to place tasks
@@ -175,6 +176,7 @@
 	l.checkProgress()
 	l.advanceWaves()
 	l.pruneJobs()
+	l.logWaiting()
 }
 
 // Applied updates the leader after a command was applied to the replicated state in this
--- a/coordination/jobs/preempt.go
+++ b/coordination/jobs/preempt.go
@@ -41,6 +41,9 @@
 	if l.now-s.readyAt < preemptAfter || l.missesDeadline(s) > 0 || l.now < s.reservedUntil {
 		return
 	}
+	if s.reservedTasks != nil {
+		l.waitingStats.holdsExpired++
+	}
 	s.reservedTasks = nil
 	offers := l.preemptionOffers(p, s)
 	total := 0
@@ -126,6 +129,7 @@
 		victim := l.steps[r.ref.StepRef]
 		free = free.Add(victim.spec.Reserved())
 		victim.preempted[r.ref.Index]++
+		l.waitingStats.preempted++
 		l.stopRun(o.w, r, "preempted by "+s.ref.String())
 	}
 }
