--- a/coordination/jobs/load_test.go
+++ b/coordination/jobs/load_test.go
@@ -21,6 +21,7 @@
 	milliCores    float64 // mean per task
 	memoryMB      float64 // mean per task
 	runMS         float64 // mean of the estimated run time of a task
+	maxRoomShare  float64 // largest share of the workers whose room a step may need, 0 for no limit
 }
 
 // loadPattern is traffic on a set of workers, modelled on the users' deployments.
@@ -135,6 +136,10 @@
 			EstimateMS: int64(spread(c.runMS, 0.5)),
 		}
 		st.Count = min(st.Count, int(6*c.width))
+		if c.maxRoomShare > 0 {
+			perWorker := min(64_000/st.PerTask.MilliCores, 256_000/st.PerTask.MemoryMB)
+			st.Count = max(1, min(st.Count, int(c.maxRoomShare*float64(len(sim.workers)*perWorker))))
+		}
 		if i > 0 {
 			st.After = []int{i - 1}
 		}
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -40,12 +40,14 @@
 	cancelledAt map[job.ID]time.Duration
 	specs       map[job.ID]job.Submission
 
-	lostAnswerShare   float64 // share of orders that are executed late and not answered, and of observations that are lost
-	approvalShare     float64 // share of workers that may run a step
-	serviceTail       float64 // tail latency in milliseconds of a service task without best-effort tasks beside it
-	bestEffortLatency float64 // milliseconds that a best-effort task at full pace adds to the tail latency of a service task
-	advice            bool    // starts need tickets
-	incompleteMembers int     // number of gang members that ended because the gang was incomplete
+	lostAnswerShare   float64                  // share of orders that are executed late and not answered, and of observations that are lost
+	approvalShare     float64                  // share of workers that may run a step
+	serviceTail       float64                  // tail latency in milliseconds of a service task without best-effort tasks beside it
+	bestEffortLatency float64                  // milliseconds that a best-effort task at full pace adds to the tail latency of a service task
+	advice            bool                     // starts need tickets
+	advisors          int                      // number of agents; each makes one call for advice at a time, with the queue's durations. 0 for one agent whose calls are short
+	advisorFreeAt     map[string]time.Duration // end of the calls of an agent, by address
+	incompleteMembers int                      // number of gang members that ended because the gang was incomplete
 	gangs             map[gangRun][]member
 	leaderTime        time.Duration // real time that the leader's decisions have taken
 	logLines          []string
@@ -88,7 +90,7 @@
 	sim := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: job.New(), workers: map[string]*fakeWorker{},
 		approved: map[string]bool{}, answers: map[Token]Answer{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, ackedFailures: map[job.TaskRef]int{},
-		cancelledAt: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, approvalShare: 0.8,
+		advisorFreeAt: map[string]time.Duration{}, cancelledAt: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, approvalShare: 0.8,
 	}
 	sim.elect()
 	return sim
@@ -122,7 +124,15 @@
 	sim.term++
 	sim.leaderActive = true
 	sim.leader = NewLeader(&fakeHost{sim: sim, term: sim.term}, sim.state, sim.bounds(), sim.term, sim.now, sim.wallMS())
-	sim.after(time.Millisecond, func() { sim.handle(ProcessHeartbeat{Name: "self", Address: "agent"}) })
+	sim.after(time.Millisecond, sim.agentHeartbeats)
+}
+
+// agentHeartbeats sends the heartbeats of all agents.
+func (sim *simulation) agentHeartbeats() {
+	sim.handle(ProcessHeartbeat{Name: "self", Address: "agent"})
+	for i := 1; i < sim.advisors; i++ {
+		sim.handle(ProcessHeartbeat{Name: "gateway", Address: fmt.Sprintf("agent%02d", i)})
+	}
 }
 
 // endTerm ends the term. There is no leader until elect.
@@ -186,7 +196,7 @@
 // heartbeats sends the heartbeats of the agent and of all workers that are neither stopped
 // nor partitioned, and schedules the next heartbeats.
 func (sim *simulation) heartbeats() {
-	sim.handle(ProcessHeartbeat{Name: "self", Address: "agent"})
+	sim.agentHeartbeats()
 	for _, x := range sim.sorted() {
 		if !x.partitioned && !x.stopped {
 			x.sequence++
@@ -309,7 +319,7 @@
 	sim := h.sim
 	switch e := e.(type) {
 	case RequestAdvice:
-		sim.after(sim.between(10*time.Millisecond, 60*time.Millisecond), func() { sim.handle(h.answerAdvice(e)) })
+		sim.after(sim.adviceTime(e), func() { sim.handle(h.answerAdvice(e)) })
 	case StartRun:
 		sim.deliver(e.Order, func(x *fakeWorker) Event {
 			return StartAnswered{Start: e, Result: x.checkIncarnation(e.Order, x.start(&e)), ClockMS: x.clock()}
@@ -327,6 +337,18 @@
 	}
 }
 
+// adviceTime returns the time until a call for advice is answered. An agent's calls are
+// served one after the other.
+func (sim *simulation) adviceTime(e RequestAdvice) time.Duration {
+	if sim.advisors == 0 {
+		return sim.between(10*time.Millisecond, 60*time.Millisecond)
+	}
+	a := sim.state.QueueOf(sim.state.Job(e.Step.Job)).Advice
+	cost := time.Duration((a.PerCallMS + a.PerWorkerMS*float64(len(e.Workers))) * float64(time.Millisecond))
+	sim.advisorFreeAt[e.Agent] = max(sim.advisorFreeAt[e.Agent], sim.now) + cost
+	return sim.advisorFreeAt[e.Agent] - sim.now + sim.between(2*time.Millisecond, 8*time.Millisecond)
+}
+
 func (h *fakeHost) answerAdvice(e RequestAdvice) Event {
 	out := AdviceAnswered{Request: e, ValidMS: 1500}
 	for _, id := range e.Workers {
