--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -36,6 +36,10 @@
 	agentTimeout = 2 * time.Second
 	// agentPause is how long an agent gets no calls after a call that failed or timed out.
 	agentPause = 2 * time.Second
+	// maxAgentBacklog is the expected time until an agent is free from which it gets no further
+	// calls. What waits is then called for in the order of the scheduling pass, and a call is
+	// answered while its result is still of use. The service refuses calls when many wait.
+	maxAgentBacklog = 250 * time.Millisecond
 	// maxRequestWorkers bounds the number of workers in one call.
 	maxRequestWorkers = 100
 )
@@ -110,8 +114,8 @@
 		return false
 	}
 	for _, v := range s.advice.verdicts {
-		if v.approved && (s.spec.Gang || now < v.validUntil) {
-			return false // room on approved workers is reserved for a gang while its tickets are renewed
+		if v.approved && now < v.validUntil {
+			return false
 		}
 	}
 	return true
@@ -120,16 +124,10 @@
 // ticket returns the ticket for a worker, or "" if none is needed.
 func (s *step) ticket(w *worker) string { return s.advice.verdicts[w.ID].ticket }
 
-// approvedWorkers returns the workers that may run the step, with or without a valid
-// ticket.
-func (s *step) approvedWorkers() map[string]bool {
-	out := map[string]bool{}
-	for id, v := range s.advice.verdicts {
-		if v.approved {
-			out[id] = true
-		}
-	}
-	return out
+// approves reports whether a worker may run the step, with or without a valid ticket.
+func (s *step) approves(w *worker) bool {
+	v := s.advice.verdicts[w.ID]
+	return v.approved && v.startedMS == w.StartedMS
 }
 
 // recordRejection invalidates the ticket of a worker that rejected a start. Unless the
@@ -144,8 +142,9 @@
 	}
 }
 
-// requestAdvice requests advice for a step that lacks room for some tasks. It renews the
-// tickets of approved workers with room, or else asks about workers without a verdict.
+// requestAdvice requests advice for a step, other than a gang, that lacks room for some tasks.
+// It renews the tickets of approved workers with room, or else asks about workers without a
+// verdict.
 func (l *Leader) requestAdvice(p *schedulingPass, s *step, need int) {
 	if s.queue.Advice == nil || s.advice.inFlight || l.now < s.advice.nextRequest {
 		return
@@ -161,15 +160,35 @@
 	s.advice.nextRequest = l.now + noRequestInterval
 }
 
+// queryForGang asks about workers without a verdict for a gang that lacks room on the workers
+// that are known to be allowed to run it. It asks only if those have too little room even
+// when they are idle, or if the room that is free on the others is expected to suffice:
+// calls for long jobs take most of a second, and other steps wait for them.
+func (l *Leader) queryForGang(p *schedulingPass, s *step, need int) {
+	if s.queue.Advice == nil || s.advice.inFlight || l.now < s.advice.nextRequest {
+		return
+	}
+	s.advice.nextRequest = l.now + noRequestInterval
+	unknown := l.workersToQuery(p, s, need)
+	if len(unknown) == 0 {
+		return
+	}
+	free := 0
+	for _, id := range unknown {
+		free += l.tasksThatFit(p.free(l.workers[id]), s, l.workers[id])
+	}
+	if l.roomWhenIdle(p, s) < need || l.approval(s.queue.Name).value()*float64(free) >= float64(need) {
+		l.sendAdviceRequest(s, unknown)
+	}
+}
+
 // workersToRenew returns approved workers with room for waiting tasks of the step, until
-// they have room for twice the number of these tasks, need. For a gang it returns none if
-// they lack room for all of its waiting tasks.
+// they have room for twice the number of these tasks, need.
 func (l *Leader) workersToRenew(p *schedulingPass, s *step, need int) []string {
-	approved := s.approvedWorkers()
 	var out []string
 	tasksThatFit := 0
 	for _, w := range p.usable {
-		if !approved[w.ID] || !matchesWorker(s, w) || tasksThatFit >= 2*need {
+		if !s.approves(w) || !matchesWorker(s, w) || tasksThatFit >= 2*need {
 			continue
 		}
 		// Room that is being freed will be available when the answer arrives.
@@ -178,9 +197,6 @@
 			out = append(out, w.ID)
 		}
 	}
-	if s.spec.Gang && tasksThatFit < need {
-		return nil
-	}
 	return out
 }
 
@@ -232,8 +248,9 @@
 	return g
 }
 
-// sendAdviceRequest sends a request through the agent that is free first.
-func (l *Leader) sendAdviceRequest(s *step, workers []string) {
+// sendAdviceRequest sends a request through the agent that is free first. It reports false if
+// no agent is free soon enough.
+func (l *Leader) sendAdviceRequest(s *step, workers []string) bool {
 	if len(workers) > maxRequestWorkers {
 		workers = workers[:maxRequestWorkers]
 	}
@@ -242,13 +259,14 @@
 	agent := l.agents.pick(l.now, cost)
 	if agent == nil {
 		s.advice.nextRequest = l.now + adviceRetry
-		return
+		return false
 	}
 	l.waitingStats.adviceRequested++
 	agent.busyUntil = max(agent.busyUntil, l.now) + cost
 	timeout := agent.busyUntil - l.now + adviceTimeoutMargin
 	s.advice.inFlight, s.advice.answerDeadline, s.advice.agent = true, l.now+timeout, agent.address
 	l.host.Emit(RequestAdvice{Agent: agent.address, Step: s.ref, Workers: workers, Timeout: timeout})
+	return true
 }
 
 func (l *Leader) adviceAnswered(e AdviceAnswered) {
@@ -261,6 +279,7 @@
 		l.log("info", "advice", e.Request.Step.String(), e.Request.Agent, "the request for advice failed", "error", e.Err.Error())
 		if s != nil && s.advice.agent == e.Request.Agent {
 			s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceRetry
+			l.dropHold(s)
 		}
 		l.needsSchedule = true
 		return
@@ -272,6 +291,9 @@
 		s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceInterval
 	}
 	l.storeAdvice(s, &e)
+	if s.hold != nil {
+		s.hold.until = s.ticketsValidUntil(s.hold.tasks)
+	}
 	l.needsSchedule = true
 }
 
@@ -315,6 +337,7 @@
 			continue
 		}
 		s.advice.inFlight, s.advice.nextRequest = false, l.now
+		l.dropHold(s)
 		if a := l.agents.find(s.advice.agent); a != nil {
 			a.downUntil = l.now + agentPause
 		}
@@ -361,8 +384,8 @@
 }
 
 // pick returns the responsive agent that is free first for a call of the expected duration
-// cost, or nil. If there are more than
-// two agents, every third one is reserved for short calls.
+// cost, or nil if none is free within maxAgentBacklog. If there are more than two agents,
+// every third one is reserved for short calls.
 func (a *agents) pick(now, cost time.Duration) *agent {
 	var best *agent
 	n := 0
@@ -371,6 +394,9 @@
 			continue
 		}
 		n++
+		if x.busyUntil > now+maxAgentBacklog {
+			continue
+		}
 		if cost >= longCallTime && n%3 == 1 && len(a.list) > 2 {
 			continue
 		}
--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -1,25 +1,28 @@
 package jobs
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/primrosereach/primrosereach/state/job"
 )
 
-// placeGang assigns all tasks of a gang or none. If they do not fit, it tries
-// preemption, requests advice, and reserves room for the gang so that later steps of the pass
-// cannot use it. It reports whether the gang was assigned.
+// placeGang assigns all tasks of a gang or none. If they cannot start now, it holds room for
+// all of them and renews the tickets, or else learns which other workers may run the gang. It
+// reports whether the gang was assigned.
 func (l *Leader) placeGang(p *schedulingPass, s *step, waiting []int) bool {
-	items := l.planGang(p, s, waiting)
-	if items != nil {
+	p.placing = s
+	defer func() { p.placing = nil }()
+	if items := l.planGang(p, s, waiting); items != nil {
 		l.waitingStats.gangsAssigned++
+		l.dropHold(s)
 		l.assign(s, items)
 		return true
 	}
-	l.preempt(p, s, len(waiting))
-	l.requestAdvice(p, s, len(waiting))
-	l.reserve(p, s, len(waiting))
+	if s.holds(l.now) || s.advice.inFlight || l.holdForGang(p, s, len(waiting)) {
+		return false
+	}
+	l.queryForGang(p, s, len(waiting))
+	l.reserveForNext(p, s, len(waiting))
 	return false
 }
 
@@ -83,35 +86,3 @@
 	}
 	return w.Labels[len(w.Labels)-1]
 }
-
-// reserve reserves capacity for need waiting tasks of a gang, so that later steps of the pass
-// cannot use it. It chooses workers that may run the gang, those with the most room first.
-// While a reservation after preemption is in force, it uses the workers of that reservation
-// instead.
-func (l *Leader) reserve(p *schedulingPass, s *step, need int) {
-	if l.now < s.reservedUntil {
-		l.reserveForPreemption(p, s)
-		return
-	}
-	approved := s.approvedWorkers()
-	all := l.candidates(p, s, p.usable, func(w *worker) bool { return len(approved) == 0 || approved[w.ID] })
-	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(b.tasksThatFit, a.tasksThatFit) })
-	for _, c := range all {
-		if need <= 0 {
-			return
-		}
-		n := min(need, c.tasksThatFit)
-		p.reservedAmounts[c.w] = p.reservedAmounts[c.w].Add(s.spec.Reserved().Scale(n))
-		need -= n
-	}
-}
-
-// reserveForPreemption reserves the free capacity of the workers that preempt chose for a
-// gang, even if it is too little for a task: preempted runs there are about to free more.
-func (l *Leader) reserveForPreemption(p *schedulingPass, s *step) {
-	for _, w := range l.byID {
-		if n := s.reservedTasks[w.ID]; n > 0 {
-			p.reservedAmounts[w] = p.reservedAmounts[w].Add(p.free(w).Positive().Min(s.spec.Reserved().Scale(n)))
-		}
-	}
-}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -50,6 +50,7 @@
 	workers           map[string]*worker
 	byID              []*worker // the values of workers, sorted by ID
 	steps             map[job.StepRef]*step
+	holding           map[job.StepRef]*step        // gangs for which capacity is held
 	futureOccurrences *queue.Timeline[job.StepRef] // occurrences that are not due yet
 	suspectDomains    map[string]domainSuspicion   // by failure domain
 	queued            map[job.ID]string            // queue of each open job that does not repeat and has no task that is known to have started
@@ -73,7 +74,7 @@
 func NewLeader(host Host, st *job.State, b Bounds, term uint64, now time.Duration, wallMS int64) *Leader {
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
-		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, futureOccurrences: queue.NewTimeline[job.StepRef](),
+		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, futureOccurrences: queue.NewTimeline[job.StepRef](),
 		suspectDomains: map[string]domainSuspicion{}, queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, pruneAtMS: map[job.ID]int64{},
 		approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), needsSchedule: true, takingOver: true,
 	}
--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -9,30 +9,42 @@
 // schedulingPass is one pass over the waiting steps. The usable workers are determined once
 // for all steps.
 type schedulingPass struct {
-	reservedAmounts map[*worker]resource.Amount // capacity reserved for earlier steps that cannot start yet
+	reservedAmounts map[*worker]resource.Amount // capacity reserved for an earlier gang that lacks room
+	reservedForNext bool                        // such a gang was found in this pass
+	held            map[*worker][]heldAmount    // capacity held for gangs
+	placing         *step                       // gang that is being placed, which can use what is held for it
 	usable          []*worker                   // sorted by ID
-	maxFree         resource.Amount             // largest free amount of each resource on any usable worker
+	maxFree         resource.Amount             // largest free amount of each resource on any usable worker, holds included
 }
 
 func (l *Leader) newPass() *schedulingPass {
-	p := &schedulingPass{reservedAmounts: map[*worker]resource.Amount{}}
+	p := &schedulingPass{reservedAmounts: map[*worker]resource.Amount{}, held: map[*worker][]heldAmount{}}
 	for _, w := range l.byID {
 		if l.usable(w) && !l.waves.isCordoned(w.rec.VM) {
 			p.usable = append(p.usable, w)
 			p.maxFree = p.maxFree.Max(p.free(w))
 		}
 	}
+	l.dropExpiredHolds()
+	for _, s := range l.holding {
+		p.addHold(l, s)
+	}
 	return p
 }
 
-// free returns the capacity of a worker that is neither assigned nor reserved in this
-// pass.
+// free returns the capacity of a worker that is neither assigned, nor reserved in this pass,
+// nor held for a gang other than the one that is being placed.
 func (p *schedulingPass) free(w *worker) resource.Amount {
 	free := w.rec.Free().Sub(w.pendingAmount)
-	if len(p.reservedAmounts) == 0 {
-		return free
+	if len(p.reservedAmounts) > 0 {
+		free = free.Sub(p.reservedAmounts[w])
+	}
+	for _, h := range p.held[w] {
+		if h.step != p.placing {
+			free = free.Sub(h.amount)
+		}
 	}
-	return free.Sub(p.reservedAmounts[w])
+	return free
 }
 
 // waitingStep is a step with tasks that can be placed.
@@ -102,6 +114,7 @@
 	var list []waitingStep
 	for ref, s := range l.steps {
 		if s.isRemovable() {
+			l.dropHold(s)
 			delete(l.steps, ref)
 			continue
 		}
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -10,14 +10,8 @@
 // placeTasks assigns as many waiting tasks as fit, and requests advice for the rest. It
 // reports whether all fit.
 func (l *Leader) placeTasks(p *schedulingPass, s *step, waiting []int) bool {
-	var items []job.Assignment
-	rest := waiting
-	for _, c := range l.candidates(p, s, l.workersWithTicket(p, s), s.ticketFilter(l.now)) {
-		for n := 0; n < c.tasksThatFit && len(rest) > 0; n++ {
-			items = append(items, job.Assignment{Index: rest[0], Run: s.task(rest[0]).Run + 1, Worker: c.w.ID, StartedMS: c.w.StartedMS})
-			rest = rest[1:]
-		}
-	}
+	items := l.planTasks(p, s, waiting)
+	rest := waiting[len(items):]
 	if len(items) > 0 {
 		l.assign(s, items)
 	}
@@ -27,6 +21,18 @@
 	return len(rest) == 0
 }
 
+// planTasks returns assignments for as many waiting tasks as fit.
+func (l *Leader) planTasks(p *schedulingPass, s *step, waiting []int) []job.Assignment {
+	var items []job.Assignment
+	for _, c := range l.candidates(p, s, l.workersWithTicket(p, s), s.ticketFilter(l.now)) {
+		for n := 0; n < c.tasksThatFit && len(items) < len(waiting); n++ {
+			i := waiting[len(items)]
+			items = append(items, job.Assignment{Index: i, Run: s.task(i).Run + 1, Worker: c.w.ID, StartedMS: c.w.StartedMS})
+		}
+	}
+	return items
+}
+
 // assign replicates an assignment and sends the starts after the commit.
 func (l *Leader) assign(s *step, items []job.Assignment) {
 	need := s.spec.Reserved()
--- a/coordination/jobs/preempt.go
+++ b/coordination/jobs/preempt.go
@@ -17,76 +17,12 @@
 	maxPreemptedPercent = 85
 	// maxPreemptions bounds how often one task is preempted, so that it completes eventually.
 	maxPreemptions = 2
-	// reservationTime is how long capacity of workers is reserved for a gang after tasks were
-	// preempted for it. It is long enough for the stops, and for the request for advice that
-	// long steps need.
-	reservationTime = 2500 * time.Millisecond
 )
 
-// offer is the number of tasks of a step that fit on a worker, and the runs there that can
-// be preempted so that more fit.
-type offer struct {
-	w                   *worker
-	tasksThatFit        int // tasks that fit without preemption, after runs that are being stopped have ended
-	roomAfterPreemption int // tasks that fit after all victims have been stopped as well
-	victims             []*run
-}
-
-// preempt stops tasks of lower priority for a waiting gang, if that makes room for all need
-// tasks of the gang that wait, and reserves capacity for them. It stops only tasks
-// that resume from a checkpoint, since they lose little work. It does nothing before the gang
-// has waited for preemptAfter, while an earlier reservation is in force, or if the job cannot
-// meet its deadline.
-func (l *Leader) preempt(p *schedulingPass, s *step, need int) {
-	if l.now-s.readyAt < preemptAfter || l.missesDeadline(s) > 0 || l.now < s.reservedUntil {
-		return
-	}
-	if s.reservedTasks != nil {
-		l.waitingStats.holdsExpired++
-	}
-	s.reservedTasks = nil
-	offers := l.preemptionOffers(p, s)
-	total := 0
-	for _, o := range offers {
-		total += o.roomAfterPreemption
-	}
-	if total < need {
-		return
-	}
-	s.reservedTasks, s.reservedUntil = map[string]int{}, l.now+reservationTime
-	for _, o := range offers {
-		if need <= 0 {
-			return
-		}
-		take := min(need, o.roomAfterPreemption)
-		need -= take
-		s.reservedTasks[o.w.ID] = take
-		l.stopVictims(p, s, o, take)
-	}
-}
-
-// preemptionOffers returns the offers of the workers that may run a step, those with the
-// most room without preemption first.
-func (l *Leader) preemptionOffers(p *schedulingPass, s *step) []offer {
-	approved := s.approvedWorkers()
-	var out []offer
-	for _, w := range p.usable {
-		if !matchesWorker(s, w) || s.queue.Advice != nil && !approved[w.ID] {
-			continue
-		}
-		free := l.freeAfterPendingStops(p, w)
-		o := offer{w: w, tasksThatFit: l.tasksThatFit(free, s, w), victims: l.victims(s, w)}
-		for _, r := range o.victims {
-			free = free.Add(l.steps[r.ref.StepRef].spec.Reserved())
-		}
-		if o.roomAfterPreemption = l.tasksThatFit(free, s, w); o.roomAfterPreemption > 0 {
-			out = append(out, o)
-		}
-	}
-	slices.SortFunc(out, func(a, b offer) int {
-		return cmp.Or(cmp.Compare(b.tasksThatFit, a.tasksThatFit), cmp.Compare(a.w.ID, b.w.ID))
-	})
-	return out
+// mayPreempt reports whether a gang may preempt tasks: it has waited for preemptAfter, and
+// the job can meet its deadline.
+func (l *Leader) mayPreempt(s *step) bool {
+	return l.now-s.readyAt >= preemptAfter && l.missesDeadline(s) == 0
 }
 
 // freeAfterPendingStops returns the capacity of a worker that is free once the runs that are
@@ -102,7 +38,8 @@
 }
 
 // victims returns the runs on a worker that may be preempted for a step, those with the
-// least progress first.
+// least progress first. Only tasks that resume from a checkpoint are preempted, since they
+// lose little work.
 func (l *Leader) victims(s *step, w *worker) []*run {
 	var out []*run
 	for _, r := range w.sortedRuns() {
@@ -118,18 +55,17 @@
 	return out
 }
 
-// stopVictims preempts runs on a worker until there is room for a number of tasks of the
-// step.
-func (l *Leader) stopVictims(p *schedulingPass, s *step, o offer, take int) {
-	free := l.freeAfterPendingStops(p, o.w)
-	for _, r := range o.victims {
-		if l.tasksThatFit(free, s, o.w) >= take {
+// stopVictims preempts runs on a worker until the room that the step holds there is free.
+func (l *Leader) stopVictims(p *schedulingPass, s *step, c chosenRoom) {
+	free := l.freeAfterPendingStops(p, c.w)
+	for _, r := range c.victims {
+		if l.tasksThatFit(free, s, c.w) >= c.take {
 			return
 		}
 		victim := l.steps[r.ref.StepRef]
 		free = free.Add(victim.spec.Reserved())
 		victim.preempted[r.ref.Index]++
 		l.waitingStats.preempted++
-		l.stopRun(o.w, r, "preempted by "+s.ref.String())
+		l.stopRun(c.w, r, "preempted by "+s.ref.String())
 	}
 }
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -22,9 +22,8 @@
 	advice             advice
 	readyAt            time.Duration // time at which the step became ready
 
-	preempted     map[int]int    // number of preemptions by task index
-	reservedTasks map[string]int // number of tasks for which capacity is reserved after preemption, by worker ID
-	reservedUntil time.Duration  // expiry of reservedTasks
+	preempted map[int]int // number of preemptions by task index
+	hold      *hold       // capacity held for a gang, nil for none
 
 	objectiveMS int64 // Unix milliseconds by which the whole job should be done
 	deadlineMS  int64 // Unix milliseconds after which completion of the job has no value
--- a/coordination/jobs/waitinglog.go
+++ b/coordination/jobs/waitinglog.go
@@ -9,7 +9,7 @@
 type waitingStats struct {
 	nextLog         time.Duration
 	preempted       int // runs that were preempted
-	holdsExpired    int // reservations for gangs that ended before the gang was assigned
+	holdsExpired    int // holds that ended before the gang was assigned
 	gangsAssigned   int
 	adviceRequested int // calls for advice
 }
@@ -33,7 +33,7 @@
 			continue
 		}
 		gangs++
-		if l.now < s.reservedUntil {
+		if s.holds(l.now) {
 			holding++
 		}
 	}
