--- a/coordination/replication/append.go
+++ b/coordination/replication/append.go
@@ -11,14 +11,11 @@
 // of 400 ms.
 const heartbeatInterval = 100 * time.Millisecond
 
-// Limits of one append and of the unacknowledged entries sent to one follower. They
-// keep the memory for six slow followers within a tenth of the 64 MB of a control
-// process.
+// Limits of one append. They keep the memory for six slow followers within a tenth of
+// the 64 MB of a control process.
 const (
-	maxBatchEntries    = 256
-	maxBatchBytes      = 256 << 10
-	maxInflightEntries = 2048
-	maxInflightBytes   = 1 << 20
+	maxBatchEntries = 2048
+	maxBatchBytes   = 1 << 20
 )
 
 // snapshotTimeout is the time after which an unacknowledged snapshot is sent again.
@@ -28,16 +25,11 @@
 type progressState uint8
 
 const (
-	replicating  progressState = iota // appends are sent without waiting for acknowledgements
+	replicating  progressState = iota // new entries are sent once the last append was acknowledged
 	probing                           // only heartbeats are sent, to find the last matching entry
 	snapshotting                      // a snapshot was sent and is not acknowledged yet
 )
 
-type batchInFlight struct {
-	last           uint64 // index of the last entry
-	entries, bytes int
-}
-
 // progress is the leader's view of another replica.
 type progress struct {
 	member  state.Member
@@ -46,11 +38,9 @@
 	match   uint64 // index of the last entry known to be synced on the replica
 	next    uint64 // index of the next entry to send
 
-	inflight        []batchInFlight
-	inflightEntries int
-	inflightBytes   int
-	snapshotIndex   uint64        // index of the last snapshot sent
-	snapshotAt      time.Duration // time at which that snapshot was sent
+	inflight      uint64        // index of the last entry that was sent and is not acknowledged, or 0
+	snapshotIndex uint64        // index of the last snapshot sent
+	snapshotAt    time.Duration // time at which that snapshot was sent
 
 	lastSent    time.Duration // time of the last append or snapshot
 	lastContact time.Duration // time of the last response
@@ -98,11 +88,13 @@
 	return next
 }
 
-// replicate sends new entries to each follower within the in-flight limits. Ready
-// calls it, so that the proposals between two calls are sent in one message.
+// replicate sends new entries to each follower that has acknowledged the last append. A
+// follower syncs one batch at a time, so entries that arrive during a sync would wait for
+// its end anyway. Sending them together afterwards bounds the number of messages by the
+// syncs of a follower instead of the number of proposals.
 func (g *Group) replicate() {
 	for _, p := range g.peers {
-		for p.state == replicating && p.next <= g.log.last() && p.inflightEntries < maxInflightEntries && p.inflightBytes < maxInflightBytes {
+		if p.state == replicating && p.next <= g.log.last() && p.inflight == 0 {
 			g.sendEntries(p)
 		}
 	}
@@ -114,23 +106,22 @@
 		g.sendSnapshot(p)
 		return
 	}
-	es, size := g.batchFrom(p.next)
+	es := g.batchFrom(p.next)
 	g.sendAppend(p, Message{Index: p.next - 1, LogTerm: prevTerm, Entries: es, Commit: g.commit})
 	p.next += uint64(len(es))
-	p.inflight = append(p.inflight, batchInFlight{p.next - 1, len(es), size})
-	p.inflightEntries += len(es)
-	p.inflightBytes += size
+	p.inflight = p.next - 1
 }
 
-func (g *Group) batchFrom(next uint64) (es []state.Entry, size int) {
-	es = g.log.slice(next-1, min(g.log.last(), next-1+maxBatchEntries))
+func (g *Group) batchFrom(next uint64) []state.Entry {
+	size := 0
+	es := g.log.slice(next-1, min(g.log.last(), next-1+maxBatchEntries))
 	for i := range es {
 		size += entrySize(&es[i])
 		if size >= maxBatchBytes {
-			return es[: i+1 : i+1], size
+			return es[: i+1 : i+1]
 		}
 	}
-	return es, size
+	return es
 }
 
 func (g *Group) sendAppend(p *progress, m Message) {
@@ -162,14 +153,10 @@
 func (g *Group) sendSnapshot(p *progress) {
 	p.state, p.snapshotIndex, p.snapshotAt = snapshotting, g.snapshot.Index, g.now
 	p.next, p.lastSent = g.snapshot.Index+1, g.now
-	p.resetInflight()
+	p.inflight = 0
 	g.send(p.member, Message{Type: MsgSnapshot, Snapshot: g.snapshot, SentAt: g.now})
 }
 
-func (p *progress) resetInflight() {
-	p.inflight, p.inflightEntries, p.inflightBytes = nil, 0, 0
-}
-
 func (g *Group) handleAppendResponse(m *Message) {
 	if g.role != leader || m.Term < g.term {
 		return
@@ -196,17 +183,12 @@
 	g.maybeChangeMembership()
 }
 
-// advance records that the replica has synced the entries up to match and removes
-// the acknowledged batches from the in-flight window.
+// advance records that the replica has synced the entries up to match.
 func (p *progress) advance(match uint64) {
 	p.match, p.next = match, max(p.next, match+1)
-	n := 0
-	for n < len(p.inflight) && p.inflight[n].last <= match {
-		p.inflightEntries -= p.inflight[n].entries
-		p.inflightBytes -= p.inflight[n].bytes
-		n++
+	if p.inflight <= match {
+		p.inflight = 0
 	}
-	p.inflight = p.inflight[n:]
 }
 
 // resumeReplicating ends probing when the log matches up to the probed entry, and
@@ -227,7 +209,7 @@
 	}
 	p.state = probing
 	p.next = max(p.match, min(m.Hint, m.Index-1)) + 1
-	p.resetInflight()
+	p.inflight = 0
 	g.sendHeartbeat(p)
 }
 
--- a/coordination/replication/guard_test.go
+++ b/coordination/replication/guard_test.go
@@ -317,3 +317,31 @@
 		t.Errorf("answer of an earlier group: %v", err)
 	}
 }
+
+// Guards against replication traffic that grows with the number of proposals: each
+// proposal was sent to each follower in a message of its own, and acknowledged in another.
+func TestEntriesWaitForTheLastAppend(t *testing.T) {
+	vs := voters(true, true, true)
+	g := replica(vs)
+	now := elect(t, g, vs[1])
+	step(t, g, now, ack(vs[1], g, 2))
+	propose := func() Ready {
+		if _, _, err := g.Propose(now, state.Command{}); err != nil {
+			t.Fatal(err)
+		}
+		return g.Ready()
+	}
+	first := find(propose(), MsgAppend)
+	if first == nil || len(first.Entries) != 1 || first.To != "b" {
+		t.Fatalf("the first entry was not sent to b: %+v", first)
+	}
+	for range 10 {
+		if m := find(propose(), MsgAppend); m != nil {
+			t.Fatalf("%d entries were sent to %s before it acknowledged the last append", len(m.Entries), m.To)
+		}
+	}
+	next := find(step(t, g, now, ack(vs[1], g, 3)), MsgAppend)
+	if next == nil || len(next.Entries) != 10 {
+		t.Errorf("after the acknowledgement: %+v; want one append of the 10 entries that waited", next)
+	}
+}
