--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -26,9 +26,11 @@
 	// the step needs. It is above 1 since the share of workers that may run a step varies
 	// from step to step.
 	requestSurplus = 1.6
-	// cheapPerWorkerMS is the time per worker, in milliseconds, below which a call names all
-	// workers without a verdict, up to maxRequestWorkers.
-	cheapPerWorkerMS = 0.3
+	// cheapPerWorkerMS is the time per worker, in milliseconds, below which a call names
+	// cheapRequestWorkers workers, so that the step has a choice of workers. More of them cost
+	// the leader more time for the message than the choice is worth.
+	cheapPerWorkerMS    = 0.3
+	cheapRequestWorkers = 30
 	// longCallTime is the expected duration from which a call does not use the agents that
 	// are reserved for short calls, so that short calls do not queue behind it.
 	longCallTime = 150 * time.Millisecond
@@ -201,9 +203,9 @@
 }
 
 // workersToQuery returns workers without a verdict for the step, those with the most room
-// first. need is the number of waiting tasks. Unless a call costs little per worker, the list
-// ends once it has minRequestWorkers workers and their expected room is enough for
-// requestSurplus times need tasks.
+// first. need is the number of waiting tasks. The list ends once it has minRequestWorkers
+// workers, or cheapRequestWorkers if a call costs little per worker, and their expected room is
+// enough for requestSurplus times need tasks.
 func (l *Leader) workersToQuery(p *schedulingPass, s *step, need int) []string {
 	type option struct {
 		id           string
@@ -225,11 +227,14 @@
 	})
 	approval := l.approval(s.queue.Name).value()
 	wanted := requestSurplus * float64(need)
-	all := s.queue.Advice.PerWorkerMS < cheapPerWorkerMS
+	minWorkers := minRequestWorkers
+	if s.queue.Advice.PerWorkerMS < cheapPerWorkerMS {
+		minWorkers = cheapRequestWorkers
+	}
 	var out []string
 	expected := 0.0
 	for _, o := range options {
-		if len(out) >= maxRequestWorkers || !all && len(out) >= minRequestWorkers && expected >= wanted {
+		if len(out) >= maxRequestWorkers || len(out) >= minWorkers && expected >= wanted {
 			break
 		}
 		out = append(out, o.id)
--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -21,6 +21,7 @@
 	if s.holds(l.now) || s.advice.inFlight || l.holdForGang(p, s, len(waiting)) {
 		return false
 	}
+	s.nextTry = l.now + gangRetryInterval
 	l.queryForGang(p, s, len(waiting))
 	l.reserveForNext(p, s, len(waiting))
 	return false
--- a/coordination/jobs/hold.go
+++ b/coordination/jobs/hold.go
@@ -184,7 +184,7 @@
 			continue
 		}
 		free := l.freeAfterPendingStops(p, w)
-		o := offer{w: w, tasksThatFit: l.tasksThatFit(free, s, w), victims: l.victims(s, w)}
+		o := offer{w: w, tasksThatFit: l.tasksThatFit(free, s, w), victims: l.victims(p, s, w)}
 		for _, r := range o.victims {
 			free = free.Add(l.steps[r.ref.StepRef].spec.Reserved())
 		}
--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/primrosereach/primrosereach/state/resource"
 )
@@ -14,11 +15,12 @@
 	held            map[*worker][]heldAmount    // capacity held for gangs
 	placing         *step                       // gang that is being placed, which can use what is held for it
 	usable          []*worker                   // sorted by ID
+	runs            map[*worker]*workerRuns     // computed on demand
 	maxFree         resource.Amount             // largest free amount of each resource on any usable worker, holds included
 }
 
 func (l *Leader) newPass() *schedulingPass {
-	p := &schedulingPass{reservedAmounts: map[*worker]resource.Amount{}, held: map[*worker][]heldAmount{}}
+	p := &schedulingPass{reservedAmounts: map[*worker]resource.Amount{}, held: map[*worker][]heldAmount{}, runs: map[*worker]*workerRuns{}}
 	for _, w := range l.byID {
 		if l.usable(w) && !l.waves.isCordoned(w.rec.VM) {
 			p.usable = append(p.usable, w)
@@ -63,6 +65,17 @@
 	maxUnplacedRoundRobin = 6
 )
 
+const (
+	// scheduleTimePerStep is added to scheduleInterval for each waiting step, up to
+	// maxScheduleInterval: a pass over many steps takes longer, and passes must leave time
+	// for the orders and calls that the same process handles.
+	scheduleTimePerStep = 200 * time.Microsecond
+	maxScheduleInterval = 40 * time.Millisecond
+	// gangRetryInterval is the time after which a gang that lacks room is tried again. A try
+	// looks at all workers that may run the gang.
+	gangRetryInterval = 40 * time.Millisecond
+)
+
 // schedule runs one scheduling pass: it places waiting steps in order and requests missing
 // advice.
 func (l *Leader) schedule() {
@@ -71,6 +84,7 @@
 		return
 	}
 	slices.SortFunc(list, compareWaiting)
+	l.nextSchedule = l.now + min(maxScheduleInterval, scheduleInterval+time.Duration(len(list))*scheduleTimePerStep)
 	p := l.newPass()
 	tried := l.tryPlace(p, list, maxUnplaced)
 	rest := list[tried:]
@@ -79,13 +93,12 @@
 	}
 	l.roundRobinOffset %= len(rest)
 	l.roundRobinOffset += l.tryPlace(p, rest[l.roundRobinOffset:], maxUnplacedRoundRobin)
-	l.needsSchedule = true // the other steps are tried in the next passes, which are further apart
-	l.nextSchedule = l.now + 2*scheduleInterval
+	l.needsSchedule = true // the other steps are tried in the next passes
 }
 
 // tryPlace tries steps in order until limit of them could not be placed in full. It skips
-// steps that await advice, and gangs some of whose tasks are assigned or done. It returns the
-// number of steps that it tried or skipped.
+// steps that await advice, and gangs some of whose tasks are assigned or done or that lacked
+// room within gangRetryInterval. It returns the number of steps that it tried or skipped.
 func (l *Leader) tryPlace(p *schedulingPass, list []waitingStep, limit int) int {
 	unplaced := 0
 	for i := range list {
@@ -99,7 +112,10 @@
 			if !l.placeTasks(p, s.step, s.tasks) {
 				unplaced++
 			}
-		case len(s.tasks) == s.spec.Count:
+		case len(s.tasks) < s.spec.Count: // wait for the ends of the other runs
+		case l.now < s.nextTry:
+			l.reserveForNext(p, s.step, len(s.tasks))
+		default:
 			if !l.placeGang(p, s.step, s.tasks) {
 				unplaced++
 			}
--- a/coordination/jobs/preempt.go
+++ b/coordination/jobs/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/primrosereach/primrosereach/state/job"
 	"github.com/primrosereach/primrosereach/state/resource"
 )
 
@@ -25,39 +26,65 @@
 	return l.now-s.readyAt >= preemptAfter && l.missesDeadline(s) == 0
 }
 
-// freeAfterPendingStops returns the capacity of a worker that is free once the runs that are
-// being stopped have ended.
-func (l *Leader) freeAfterPendingStops(p *schedulingPass, w *worker) resource.Amount {
-	free := p.free(w)
+// workerRuns is what preemption needs to know about the runs of a worker. It is computed once
+// in a pass, since many gangs look at the same workers.
+type workerRuns struct {
+	stopping    resource.Amount // capacity of the runs that are being stopped
+	preemptible []*run          // runs that some step may preempt, those with the least progress first
+}
+
+// runsOf returns the runs of a worker for preemption.
+func (l *Leader) runsOf(p *schedulingPass, w *worker) *workerRuns {
+	if x := p.runs[w]; x != nil {
+		return x
+	}
+	x := &workerRuns{}
 	for _, r := range w.runs {
-		if s := l.steps[r.ref.StepRef]; r.phase == stopping && s != nil {
-			free = free.Add(s.spec.Reserved())
+		s := l.steps[r.ref.StepRef]
+		switch {
+		case s == nil:
+		case r.phase == stopping:
+			x.stopping = x.stopping.Add(s.spec.Reserved())
+		case r.isPreemptible(s):
+			x.preemptible = append(x.preemptible, r)
 		}
 	}
-	return free
+	slices.SortFunc(x.preemptible, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.percent, b.percent), job.CompareTasks(a.ref, b.ref))
+	})
+	p.runs[w] = x
+	return x
+}
+
+// isPreemptible reports whether a run of step s may be preempted by a step of higher priority.
+// Only tasks that resume from a checkpoint are preempted, since they lose little work.
+func (r *run) isPreemptible(s *step) bool {
+	return r.phase == running && s.spec.Checkpointing && !s.spec.Gang && !s.spec.Service &&
+		r.percent < maxPreemptedPercent && s.preempted[r.ref.Index] < maxPreemptions
+}
+
+// freeAfterPendingStops returns the capacity of a worker that is free once the runs that are
+// being stopped have ended.
+func (l *Leader) freeAfterPendingStops(p *schedulingPass, w *worker) resource.Amount {
+	return p.free(w).Add(l.runsOf(p, w).stopping)
 }
 
 // victims returns the runs on a worker that may be preempted for a step, those with the
-// least progress first. Only tasks that resume from a checkpoint are preempted, since they
-// lose little work.
-func (l *Leader) victims(s *step, w *worker) []*run {
+// least progress first.
+func (l *Leader) victims(p *schedulingPass, s *step, w *worker) []*run {
 	var out []*run
-	for _, r := range w.sortedRuns() {
-		v := l.steps[r.ref.StepRef]
-		if v == nil || r.phase != running || v.queue.Priority <= s.queue.Priority || !v.spec.Checkpointing || v.spec.Gang || v.spec.Service {
-			continue
-		}
-		if r.percent < maxPreemptedPercent && v.preempted[r.ref.Index] < maxPreemptions {
+	for _, r := range l.runsOf(p, w).preemptible {
+		if l.steps[r.ref.StepRef].queue.Priority > s.queue.Priority {
 			out = append(out, r)
 		}
 	}
-	slices.SortStableFunc(out, func(a, b *run) int { return cmp.Compare(a.percent, b.percent) })
 	return out
 }
 
 // stopVictims preempts runs on a worker until the room that the step holds there is free.
 func (l *Leader) stopVictims(p *schedulingPass, s *step, c chosenRoom) {
 	free := l.freeAfterPendingStops(p, c.w)
+	delete(p.runs, c.w) // it changes below
 	for _, r := range c.victims {
 		if l.tasksThatFit(free, s, c.w) >= c.take {
 			return
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -22,8 +22,9 @@
 	advice             advice
 	readyAt            time.Duration // time at which the step became ready
 
-	preempted map[int]int // number of preemptions by task index
-	hold      *hold       // capacity held for a gang, nil for none
+	preempted map[int]int   // number of preemptions by task index
+	hold      *hold         // capacity held for a gang, nil for none
+	nextTry   time.Duration // earliest time at which a gang that lacked room is tried again
 
 	objectiveMS int64 // Unix milliseconds by which the whole job should be done
 	deadlineMS  int64 // Unix milliseconds after which completion of the job has no value
