--- a/coordination/jobgroup.go
+++ b/coordination/jobgroup.go
@@ -28,6 +28,14 @@
 		Event jobs.Event
 	}
 
+	// ConfirmWorker asks whether this process may acknowledge a heartbeat of a worker by
+	// itself: its replica of the job group holds the same record. It is answered with CodeOK
+	// or CodeUnavailable.
+	ConfirmWorker struct {
+		Token     Token
+		Heartbeat jobs.WorkerHeartbeat
+	}
+
 	// ContactsChanged replaces the processes that a non-member asks to admit it to the
 	// job group.
 	ContactsChanged struct{ Contacts []state.Member }
@@ -40,6 +48,7 @@
 )
 
 func (JobEvent) event()        {}
+func (ConfirmWorker) event()   {}
 func (ContactsChanged) event() {}
 func (JobEffect) effect()      {}
 func (JobLog) effect()         {}
@@ -85,6 +94,17 @@
 	r.leaderState.jobs.Handle(e.Event)
 }
 
+// confirmWorker answers a ConfirmWorker. The leader does not confirm heartbeats: it handles
+// them itself.
+func (n *Node) confirmWorker(e ConfirmWorker) {
+	r := n.replicas[JobGroup]
+	if r == nil || r.leaderState != nil || n.stopping || !jobs.MatchesRecord(r.jobs, e.Heartbeat) {
+		n.reply(e.Token, unavailable("the heartbeat is not confirmed by this process"))
+		return
+	}
+	n.reply(e.Token, Answer{Code: CodeOK})
+}
+
 // jobHost executes what the leader of the job group decides. It implements jobs.Host.
 type jobHost struct {
 	n *Node
--- a/coordination/jobgroup_test.go
+++ b/coordination/jobgroup_test.go
@@ -168,3 +168,42 @@
 	}
 	t.Errorf("the task was not started")
 }
+
+// Guards against a leader that handles each heartbeat of each worker: members confirm those
+// that change nothing, and only those.
+func TestMembersConfirmHeartbeatsThatChangeNothing(t *testing.T) {
+	g := newJobGroupTest(t)
+	g.run(2 * time.Second)
+	l := g.leader()
+	worker := job.Worker{Incarnation: job.Incarnation{ID: "w", StartedMS: 5}, Address: "w:1", Pool: "p", Capacity: resource.Amount{MilliCores: 8000}}
+	heartbeat := jobs.WorkerHeartbeat{Worker: worker, ClockMS: 100, Sequence: 2}
+	token := Token(10)
+	confirmed := func(i int, e jobs.WorkerHeartbeat) bool {
+		token++
+		g.step(i, ConfirmWorker{Token: token, Heartbeat: e})
+		return g.answers[token].Code == CodeOK
+	}
+	follower := (l + 1) % len(g.nodes)
+	if confirmed(follower, heartbeat) {
+		t.Error("a worker that has not joined is confirmed")
+	}
+	joining := heartbeat
+	joining.Token, joining.Sequence = 1, 1
+	g.call(l, 1, joining)
+	g.run(300 * time.Millisecond)
+	if !confirmed(follower, heartbeat) {
+		t.Error("the heartbeat of a known worker is not confirmed by a follower")
+	}
+	if confirmed(l, heartbeat) {
+		t.Error("the leader confirms a heartbeat instead of handling it")
+	}
+	draining, restarted, moved := heartbeat, heartbeat, heartbeat
+	draining.Draining = true
+	restarted.Worker.StartedMS++
+	moved.Worker.Address = "w:2"
+	for _, e := range []jobs.WorkerHeartbeat{draining, restarted, moved} {
+		if confirmed(follower, e) {
+			t.Errorf("a heartbeat that changes the record is confirmed: %+v", e)
+		}
+	}
+}
--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -372,6 +372,7 @@
 		l.needsSchedule = true
 	}
 	a.lastContact = l.now
+	l.workersContacted(e.Workers)
 	answer := Answer{Code: CodeOK, Members: l.host.Members()}
 	if l.state.Configuration().Version == 0 {
 		answer.Message = "no configuration is in force yet"
--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -66,7 +66,8 @@
 	ProcessHeartbeat struct {
 		Token   Token
 		Name    string
-		Address string // address of its peer listener, host:port
+		Address string          // address of its peer listener, host:port
+		Workers []WorkerContact // heartbeats of workers that the process has acknowledged since its last one
 	}
 )
 
@@ -81,6 +82,13 @@
 		Sequence int64 // increases with each report of one incarnation
 	}
 
+	// WorkerContact is a heartbeat of a worker that changes nothing in the replicated record.
+	WorkerContact struct {
+		Worker   job.Incarnation `json:"worker"`
+		ClockMS  int64           `json:"clock_ms"` // clock of the worker in milliseconds, 0 if not reported
+		Sequence int64           `json:"sequence"` // increases with each report of one incarnation
+	}
+
 	// DeregisterWorker reports that a worker is stopping now.
 	DeregisterWorker struct {
 		Token Token
--- a/coordination/jobs/heartbeat.go
+++ b/coordination/jobs/heartbeat.go
@@ -1,6 +1,46 @@
 package jobs
 
-import "github.com/primrosereach/primrosereach/state/job"
+import (
+	"slices"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// contactAge is the assumed age of a worker's contact that another process reports. It exceeds
+// the period of the heartbeats of processes.
+const contactAge = 500 * time.Millisecond
+
+// MatchesRecord reports whether a heartbeat agrees with the replicated record of its worker, so
+// that any member with contact to the leader can acknowledge it. The leader needs to know only
+// that the worker was in contact.
+func MatchesRecord(st *job.State, e WorkerHeartbeat) bool {
+	w := st.Worker(e.Worker.ID)
+	return w != nil && w.Incarnation == e.Worker.Incarnation && w.Draining == e.Draining &&
+		w.Address == e.Worker.Address && w.Pool == e.Worker.Pool && w.Domain == e.Worker.Domain && w.VM == e.Worker.VM &&
+		w.Capacity == e.Worker.Capacity && slices.Equal(w.Labels, e.Worker.Labels)
+}
+
+// workersContacted records heartbeats of workers that another process has acknowledged.
+func (l *Leader) workersContacted(contacts []WorkerContact) {
+	for _, c := range contacts {
+		w := l.workers[c.Worker.ID]
+		if w == nil || w.Incarnation != c.Worker || c.Sequence <= w.sequence {
+			continue
+		}
+		w.sequence = c.Sequence
+		w.recordContact(max(w.lastContact, l.now-contactAge), c.ClockMS)
+		l.observeAfterMiss(w)
+	}
+}
+
+// observeAfterMiss polls a worker at once that has missed an answer and is in contact again.
+func (l *Leader) observeAfterMiss(w *worker) {
+	if w.misses > 0 && !w.observing {
+		w.observeAtOnce, w.observeAt = true, l.now
+		l.markForReconcile(w)
+	}
+}
 
 // workerHeartbeat processes the heartbeat of a worker. An unknown worker or a newer
 // incarnation joins, the latter only once it certainly runs none of the runs of the previous
@@ -37,10 +77,7 @@
 	if w != nil && known.StartedMS == e.Worker.StartedMS && e.Sequence > w.sequence {
 		w.sequence = e.Sequence
 		w.recordContact(l.now, e.ClockMS)
-		if w.misses > 0 && !w.observing {
-			w.observeAtOnce, w.observeAt = true, l.now
-			l.markForReconcile(w)
-		}
+		l.observeAfterMiss(w)
 	}
 	if e.Draining && !known.Draining && known.StartedMS == e.Worker.StartedMS {
 		l.drain(known.Incarnation, reply)
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -415,3 +415,27 @@
 		t.Errorf("the last worker of the domain could get work in %d of %d samples", usable, samples)
 	}
 }
+
+// Guards against an idle worker that gets no work although other members acknowledge its
+// heartbeats, and against late contacts of an earlier incarnation.
+func TestReportedContactKeepsWorkerUsable(t *testing.T) {
+	sim := newSimulation(t, 1)
+	sim.configure(2, nil)
+	x := sim.addWorker("w", 8)
+	sim.handle(WorkerHeartbeat{Worker: x.record(), ClockMS: x.clock(), Sequence: 1})
+	sim.run(100 * time.Millisecond)
+	for sequence := int64(2); sim.now < 2*staleAfter; sequence++ {
+		sim.run(sim.now + time.Second)
+		sim.handle(ProcessHeartbeat{Name: "member", Address: "member", Workers: []WorkerContact{{Worker: x.record().Incarnation, ClockMS: x.clock(), Sequence: sequence}}})
+	}
+	if w := sim.leader.workers["w"]; !sim.leader.usable(w) {
+		t.Errorf("the worker is not usable, last contact %v ago", sim.now-w.lastContact)
+	}
+	earlier := x.record().Incarnation
+	earlier.StartedMS--
+	sim.run(sim.now + 2*staleAfter)
+	sim.handle(ProcessHeartbeat{Name: "member", Address: "member", Workers: []WorkerContact{{Worker: earlier, ClockMS: 1, Sequence: 1000}}})
+	if sim.leader.usable(sim.leader.workers["w"]) {
+		t.Error("a contact of an earlier incarnation counts")
+	}
+}
--- a/coordination/node.go
+++ b/coordination/node.go
@@ -166,6 +166,8 @@
 		}
 	case JobEvent:
 		n.jobEvent(e)
+	case ConfirmWorker:
+		n.confirmWorker(e)
 	case Shutdown:
 		n.shutdown()
 	}
--- a/protocol/job.go
+++ b/protocol/job.go
@@ -41,6 +41,8 @@
 	ClockMS      int64              `json:"clock_ms,omitempty"`
 	Sequence     int64              `json:"sequence,omitempty"`
 	KnownVersion int64              `json:"known,omitempty"`
+
+	Contacts []jobs.WorkerContact `json:"contacts,omitempty"`
 }
 
 // EncodeJobEvent returns the forwarded form of a call to the job group.
@@ -63,7 +65,7 @@
 	case jobs.ReadWave:
 		name, c = OpReadWave, jobCall{Number: e.Number}
 	case jobs.ProcessHeartbeat:
-		name, c = OpProcessHeartbeat, jobCall{Name: e.Name, Address: e.Address}
+		name, c = OpProcessHeartbeat, jobCall{Name: e.Name, Address: e.Address, Contacts: e.Workers}
 	case jobs.WorkerHeartbeat:
 		name, c = OpWorkerHeartbeat, jobCall{Worker: &e.Worker, Leaving: e.Draining, ClockMS: e.ClockMS, Sequence: e.Sequence}
 	case jobs.DeregisterWorker:
@@ -111,7 +113,7 @@
 	case OpReadWave:
 		return jobs.ReadWave{Token: t, Number: c.Number}, nil
 	case OpProcessHeartbeat:
-		return jobs.ProcessHeartbeat{Token: t, Name: c.Name, Address: c.Address}, nil
+		return jobs.ProcessHeartbeat{Token: t, Name: c.Name, Address: c.Address, Workers: c.Contacts}, nil
 	case OpWorkerHeartbeat:
 		if c.Worker == nil {
 			return nil, missing
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -46,13 +46,17 @@
 
 // Client performs calls at the leader of the job group.
 type Client struct {
-	self        string // peer address of this process
-	tracker     *tracker
-	peers       Forwarder
-	local       func(ctx context.Context, op protocol.Operation) protocol.Result // performs an operation on this process; nil on a gateway
-	logger      hclog.Logger
-	observeCall func(operation string, code jobs.Code, took time.Duration)
-	maxStale    time.Duration // longest time until the answer to a queue lookup, 0 for no limit
+	self    string // peer address of this process
+	tracker *tracker
+	peers   Forwarder
+	local   func(ctx context.Context, op protocol.Operation) protocol.Result // performs an operation on this process; nil on a gateway
+	// confirmWorker reports whether this process may acknowledge a heartbeat of a worker
+	// without a call to the leader; nil on a gateway.
+	confirmWorker func(ctx context.Context, e jobs.WorkerHeartbeat) bool
+	contacts      contactList
+	logger        hclog.Logger
+	observeCall   func(operation string, code jobs.Code, took time.Duration)
+	maxStale      time.Duration // longest time until the answer to a queue lookup, 0 for no limit
 
 	// lastConfiguration is the configuration that was read last. Reads send its version,
 	// so that the leader sends a document, which may be large, only once.
@@ -68,6 +72,10 @@
 // a queue lookup, which changes nothing, the answer has the code "unavailable" or
 // "refused" only if no attempt can have taken effect.
 func (c *Client) Call(ctx context.Context, ev jobs.Event) jobs.Answer {
+	if e, ok := ev.(jobs.WorkerHeartbeat); ok && c.confirmWorker != nil && c.Ready() && c.confirmWorker(ctx, e) {
+		c.contacts.add(&e)
+		return jobs.Answer{Code: jobs.CodeOK}
+	}
 	known := c.lastConfiguration.Load()
 	if e, ok := ev.(jobs.ReadConfiguration); ok && known != nil {
 		e.KnownVersion = known.Version
@@ -281,7 +289,7 @@
 // forwards calls and can ask for advice.
 func (c *Client) sendHeartbeat(name string) func(ctx context.Context, target string) {
 	return func(ctx context.Context, target string) {
-		op, err := protocol.EncodeJobEvent(jobs.ProcessHeartbeat{Name: name, Address: c.self})
+		op, err := protocol.EncodeJobEvent(jobs.ProcessHeartbeat{Name: name, Address: c.self, Workers: c.contacts.take()})
 		if err != nil || target == "" {
 			return
 		}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -41,6 +42,8 @@
 	defer cancel()
 	m := &member{process: newProcess(runCtx, s, newPlatform(s), os.Stdout), loop: control.NewLoop(), runCtx: runCtx}
 	m.client.local = m.Perform
+	m.client.confirmWorker = m.confirmWorker
+	debug.SetGCPercent(memberGCPercent)
 	store, err := m.openStore()
 	if err != nil {
 		return err
@@ -70,6 +73,10 @@
 	}
 }
 
+// memberGCPercent is the growth of the heap of a member at which the garbage collector runs.
+// Members have memory to spare and lack processor time; the memory limit still holds.
+const memberGCPercent = 300
+
 // observeStep records one step of the control goroutine, and writes a log line about its
 // load once a second while events wait.
 func (m *member) observeStep(queued, took time.Duration) {
@@ -169,6 +176,14 @@
 	return m.fail(op, protocol.CodeUnavailable, a.Message)
 }
 
+// confirmWorker asks the control goroutine whether this process may acknowledge a heartbeat.
+func (m *member) confirmWorker(ctx context.Context, e jobs.WorkerHeartbeat) bool {
+	a, ok := m.loop.Call(ctx, func(t coordination.Token) coordination.Event {
+		return coordination.ConfirmWorker{Token: t, Heartbeat: e}
+	})
+	return ok && a.Code == coordination.CodeOK
+}
+
 func (m *member) answer(op protocol.Operation, a jobs.Answer) protocol.Result {
 	res, err := protocol.EncodeJobAnswer(a)
 	if err != nil {
