--- a/coordination/jobs/hold.go
+++ b/coordination/jobs/hold.go
@@ -84,8 +84,8 @@
 
 // holdForGang holds room for all need waiting tasks of a gang on workers that may run it,
 // preempts tasks of lower priority if that is necessary, and renews the tickets of these
-// workers. It reports false, and changes nothing, if there is not enough room or if the
-// tickets cannot be renewed now.
+// workers. It reports false, and changes nothing, if there is not enough room, if the tickets
+// cannot be renewed now, or if one call cannot name all workers whose tickets are needed.
 func (l *Leader) holdForGang(p *schedulingPass, s *step, need int) bool {
 	chosen := l.chooseRoom(p, s, need+need/spareShare+1)
 	if chosen == nil {
@@ -108,7 +108,7 @@
 			for _, c := range chosen {
 				ids = append(ids, c.w.ID)
 			}
-			if !l.sendAdviceRequest(s, ids) {
+			if len(ids) > maxRequestWorkers || !l.sendAdviceRequest(s, ids) {
 				return false
 			}
 			until = s.advice.answerDeadline
