--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -54,6 +54,7 @@
 	*step
 	tasks          []int // indexes of the tasks
 	missesDeadline int   // 1 if the job cannot be done by its deadline, else 0
+	late           bool  // the job cannot be done by its objective
 }
 
 // Bounds of one pass. A step that cannot be placed in full costs a search through many
@@ -138,7 +139,7 @@
 			continue
 		}
 		if tasks := s.waiting(); len(tasks) > 0 {
-			list = append(list, waitingStep{s, tasks, l.missesDeadline(s)})
+			list = append(list, waitingStep{s, tasks, l.missesDeadline(s), l.isLate(s)})
 		}
 	}
 	return list
--- a/coordination/jobs/place_test.go
+++ b/coordination/jobs/place_test.go
@@ -58,3 +58,17 @@
 		t.Errorf("a pass tries %d steps, at most %d can fail", tried, maxUnplaced)
 	}
 }
+
+// Guards against a queue that runs only late jobs once it has fallen behind.
+func TestStepsInTimeComeBeforeLateOnes(t *testing.T) {
+	queue := job.Queue{Name: "q", Priority: 1}
+	step := func(id job.ID, objectiveMS int64, late bool) waitingStep {
+		return waitingStep{step: &step{ref: job.StepRef{Job: id}, queue: queue, objectiveMS: objectiveMS}, late: late}
+	}
+	if compareWaiting(step("new", 2000, false), step("old", 1000, true)) >= 0 {
+		t.Error("a step whose job is late anyway comes first")
+	}
+	if compareWaiting(step("a", 1000, false), step("b", 2000, false)) >= 0 {
+		t.Error("of two steps in time, the one with the later objective comes first")
+	}
+}
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -280,12 +280,15 @@
 }
 
 // compareWaiting orders waiting steps. Jobs that cannot meet their deadline come last. Next
-// in order are the priority of the queue and the time by which the job should be done, so
-// that long jobs do not starve.
+// in order are the priority of the queue, whether the job can still be done by its objective,
+// and that time, so that long jobs do not starve. Without the third, a queue that has fallen
+// behind once runs only late jobs from then on: those that have just arrived wait until they
+// are late too.
 func compareWaiting(a, b waitingStep) int {
 	return cmp.Or(
 		cmp.Compare(a.missesDeadline, b.missesDeadline),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		compareBool(a.late, b.late),
 		cmp.Compare(a.objectiveMS, b.objectiveMS),
 		cmp.Compare(a.ref.Job, b.ref.Job),
 		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
@@ -293,6 +296,12 @@
 	)
 }
 
+// isLate reports whether the job of a step cannot be done by its objective any more.
+// Services have no objective.
+func (l *Leader) isLate(s *step) bool {
+	return !s.spec.Service && l.wallMS+s.remainingMS > s.objectiveMS
+}
+
 // missesDeadline returns 1 if the job of a step cannot be done by its deadline, else 0.
 // Services have no deadline.
 func (l *Leader) missesDeadline(s *step) int {
