--- a/coordination/jobs/calls.go
+++ b/coordination/jobs/calls.go
@@ -11,6 +11,10 @@
 // a second.
 const retryUnavailable = time.Second
 
+// retryRefused is the retry delay of submissions that are refused because of load. Callers
+// give up a few seconds after their first attempt, and the load of a burst is over sooner.
+const retryRefused = time.Second
+
 func unavailable(message string) Answer {
 	return Answer{Code: CodeUnavailable, Message: message, RetryAfter: retryUnavailable}
 }
@@ -45,8 +49,15 @@
 		l.host.Reply(e.Token, Answer{Code: CodeInvalid, Message: err.Error()})
 		return
 	}
+	if l.submitting[id] == 0 && l.overload.refuses(id, l.wallMS) {
+		l.overload.refused++
+		l.host.Reply(e.Token, Answer{Code: CodeRefused, Message: "the leader does not keep up with its work", RetryAfter: retryRefused})
+		return
+	}
 	cmd := &job.Command{Submit: &job.Submit{Submission: e.Submission, Queue: q.Name, AtMS: l.wallMS}}
+	l.submitting[id]++
 	ok := l.propose(cmd, func(_ job.Applied, committed bool) {
+		l.submitted(id)
 		j := l.state.Job(id)
 		switch {
 		case !committed:
@@ -58,10 +69,18 @@
 		}
 	})
 	if !ok {
+		l.submitted(id)
 		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
 	}
 }
 
+// submitted ends one attempt to store a job.
+func (l *Leader) submitted(id job.ID) {
+	if l.submitting[id]--; l.submitting[id] <= 0 {
+		delete(l.submitting, id)
+	}
+}
+
 func (l *Leader) lookup(e Lookup) {
 	q, id := l.resolve(e.Token, e.Host, e.Path)
 	if q == nil {
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -62,6 +62,8 @@
 	speeds            *estimate.Estimator
 	waves             waves
 	waitingStats      waitingStats
+	overload          overload
+	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 
 	takingOver        bool // NewLeader is loading the replicated state
 	needsSchedule     bool // a scheduling pass may be able to place tasks
@@ -74,7 +76,7 @@
 func NewLeader(host Host, st *job.State, b Bounds, term uint64, now time.Duration, wallMS int64) *Leader {
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
-		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, futureOccurrences: queue.NewTimeline[job.StepRef](),
+		workers: map[string]*worker{}, submitting: map[job.ID]int{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, futureOccurrences: queue.NewTimeline[job.StepRef](),
 		suspectDomains: map[string]domainSuspicion{}, queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, pruneAtMS: map[job.ID]int64{},
 		approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), needsSchedule: true, takingOver: true,
 	}
@@ -172,6 +174,7 @@
 
 func (l *Leader) runPeriodicChecks() {
 	l.needsSchedule = true
+	l.overload.decay()
 	l.checkAdvice()
 	l.checkGangs()
 	l.checkProgress()
--- /dev/null
+++ b/coordination/jobs/overload_test.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// newSlowLeader returns a simulation in which the answers to starts are handled delay after
+// they were sent.
+func newSlowLeader(t *testing.T, delay time.Duration) *simulation {
+	sim := newReadySimulation(t, 5, 4, nil)
+	for range 10 * orderDelayWeight {
+		sim.handle(StartAnswered{Start: StartRun{Order: Order{SentAt: sim.now - delay}}, Result: OrderDone})
+	}
+	return sim
+}
+
+// refusedOf submits n jobs and returns how many were refused.
+func (sim *simulation) refusedOf(n int, name string) int {
+	refused := 0
+	for i := range n {
+		token := sim.submit("/u/", job.Submission{ID: job.ID(fmt.Sprint(name, i)), Steps: []job.Step{tasks(1, 1, 100)}})
+		if a := sim.answers[token]; a.Code == CodeRefused {
+			refused++
+			if a.RetryAfter == 0 {
+				sim.t.Error("a refusal without a retry delay")
+			}
+		}
+	}
+	return refused
+}
+
+// Guards against a leader that accepts all jobs although its process does not keep up, so that
+// none is done in time, and against refusals without need.
+func TestSubmissionsAreRefusedWhileTheLeaderDoesNotKeepUp(t *testing.T) {
+	const n = 200
+	if r := newSlowLeader(t, maxOrderDelay/2).refusedOf(n, "a"); r > 0 {
+		t.Errorf("%d of %d submissions were refused without need", r, n)
+	}
+	sim := newSlowLeader(t, 4*maxOrderDelay)
+	if r := sim.refusedOf(n, "b"); r < n/2 || r == n {
+		t.Errorf("%d of %d submissions were refused at four times the delay", r, n)
+	}
+	sim.run(sim.now + 10*time.Second)
+	if r := sim.refusedOf(n, "c"); r > 0 {
+		t.Errorf("%d of %d submissions were refused after the load has ended", r, n)
+	}
+}
+
+// Guards against a refusal of a job that runs: an earlier attempt to submit it is being
+// committed.
+func TestSubmissionThatIsBeingStoredIsNotRefused(t *testing.T) {
+	sim := newReadySimulation(t, 5, 4, nil)
+	for i := range 50 {
+		sim.submit("/u/", job.Submission{ID: job.ID(fmt.Sprint("j", i)), Steps: []job.Step{tasks(1, 1, 100)}})
+	}
+	sim.leader.overload.orderDelay = 100 * maxOrderDelay
+	if r := sim.refusedOf(50, "j"); r > 0 {
+		t.Errorf("%d of 50 submissions were refused while an earlier attempt was being committed", r)
+	}
+}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -121,6 +121,9 @@
 
 func (l *Leader) startAnswered(e StartAnswered) {
 	w, r := l.handleOrderAnswer(e.Start.Order, e.Start.TaskRef, e.Start.Run, e.Result, e.ClockMS)
+	if e.Result != OrderUnanswered {
+		l.overload.startMeasured(l.now, e.Start.SentAt)
+	}
 	if w != nil && e.Result == OrderWrongIncarnation {
 		l.markReplaced(w)
 		return
--- a/coordination/jobs/waitinglog.go
+++ b/coordination/jobs/waitinglog.go
@@ -39,8 +39,11 @@
 	}
 	st := l.waitingStats
 	l.waitingStats = waitingStats{nextLog: l.now + waitingLogInterval}
-	if steps > 0 {
+	refused := l.overload.refused
+	l.overload.refused = 0
+	if steps > 0 || refused > 0 {
 		l.log("info", "waiting", "", "", "waiting work", "steps", steps, "gangs", gangs, "holding", holding, "advice_in_flight", inFlight,
-			"advice_calls", st.adviceRequested, "preempted", st.preempted, "holds_expired", st.holdsExpired, "gangs_assigned", st.gangsAssigned)
+			"advice_calls", st.adviceRequested, "preempted", st.preempted, "holds_expired", st.holdsExpired, "gangs_assigned", st.gangsAssigned,
+			"order_delay_ms", l.overload.orderDelay.Milliseconds(), "refused", refused)
 	}
 }
