--- a/transport/site/workercontacts.go
+++ b/transport/site/workercontacts.go
@@ -6,7 +6,7 @@
 	"github.com/primrosereach/primrosereach/coordination/jobs"
 )
 
-// maxContacts bounds the contacts that wait for the next heartbeat. Further ones replace none:
+// maxContacts bounds the contacts that wait for the next heartbeat. Further ones are dropped:
 // each worker reports again within seconds.
 const maxContacts = 4096
 
