--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -49,12 +49,11 @@
 	return free
 }
 
-// waitingStep is a step with tasks that can be placed.
+// waitingStep is a step that may have tasks that can be placed.
 type waitingStep struct {
 	*step
-	tasks          []int // indexes of the tasks
-	missesDeadline int   // 1 if the job cannot be done by its deadline, else 0
-	late           bool  // the job cannot be done by its objective
+	missesDeadline int  // 1 if the job cannot be done by its deadline, else 0
+	late           bool // the job cannot be done by its objective
 }
 
 // Bounds of one pass. A step that cannot be placed in full costs a search through many
@@ -107,17 +106,21 @@
 			return i
 		}
 		s := &list[i]
+		if s.awaitsAdvice(l.now) {
+			continue
+		}
+		tasks := s.waiting()
 		switch {
-		case s.awaitsAdvice(l.now):
+		case len(tasks) == 0:
 		case !s.spec.Gang:
-			if !l.placeTasks(p, s.step, s.tasks) {
+			if !l.placeTasks(p, s.step, tasks) {
 				unplaced++
 			}
-		case len(s.tasks) < s.spec.Count: // wait for the ends of the other runs
+		case len(tasks) < s.spec.Count: // wait for the ends of the other runs
 		case l.now < s.nextTry:
-			l.reserveForNext(p, s.step, len(s.tasks))
+			l.reserveForNext(p, s.step, len(tasks))
 		default:
-			if !l.placeGang(p, s.step, s.tasks) {
+			if !l.placeGang(p, s.step, tasks) {
 				unplaced++
 			}
 		}
@@ -125,8 +128,8 @@
 	return len(list)
 }
 
-// waitingSteps returns the steps with tasks that can be placed, and deletes the steps that
-// need no more work.
+// waitingSteps returns the steps that may have tasks that can be placed, and deletes the steps
+// that need no more work. It looks at no single task: a pass tries only the first of many steps.
 func (l *Leader) waitingSteps() []waitingStep {
 	var list []waitingStep
 	for ref, s := range l.steps {
@@ -138,8 +141,8 @@
 		if s.job.Phase.Final() {
 			continue
 		}
-		if tasks := s.waiting(); len(tasks) > 0 {
-			list = append(list, waitingStep{s, tasks, l.missesDeadline(s), l.isLate(s)})
+		if s.mayHaveWaiting() {
+			list = append(list, waitingStep{s, l.missesDeadline(s), l.isLate(s)})
 		}
 	}
 	return list
--- a/coordination/jobs/place_test.go
+++ b/coordination/jobs/place_test.go
@@ -72,3 +72,24 @@
 		t.Error("of two steps in time, the one with the later objective comes first")
 	}
 }
+
+// passAllocations returns the allocations of a scheduling pass while n jobs wait for room.
+func passAllocations(t *testing.T, n int) float64 {
+	sim := newReadySimulation(t, 9, 1, nil)
+	sim.submit("/u/", job.Submission{ID: "first", Steps: []job.Step{tasks(1, 16, 600_000)}})
+	sim.run(sim.now + time.Second)
+	for i := range n {
+		sim.submit("/b/", job.Submission{ID: job.ID(fmt.Sprint("j", i)), Steps: []job.Step{tasks(5, 4, 600_000)}})
+	}
+	sim.run(sim.now + 2*time.Second)
+	return testing.AllocsPerRun(50, sim.leader.schedule)
+}
+
+// Guards against passes that look at each task of all waiting steps, so that decisions take the
+// processor time of the leader when the backlog is longest.
+func TestCostOfAPassDoesNotGrowWithTheBacklog(t *testing.T) {
+	few, many := passAllocations(t, 200), passAllocations(t, 1600)
+	if many > 2*few {
+		t.Errorf("a pass makes %.0f allocations while 200 jobs wait and %.0f while 1600 do", few, many)
+	}
+}
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -219,6 +219,15 @@
 	return longest, fromStep
 }
 
+// mayHaveWaiting reports whether waiting may return any tasks. It compares counts only.
+func (s *step) mayHaveWaiting() bool {
+	open := s.spec.Count
+	if o := s.job.Occurrence(s.ref.Occurrence); o != nil {
+		open = o.Open[s.ref.Step]
+	}
+	return open > len(s.runs)+len(s.pendingAssignments)
+}
+
 // waiting returns the indexes of the tasks that can be placed: their status is
 // TaskWaiting, and no assignment of them is committed or being committed.
 func (s *step) waiting() []int {
@@ -285,15 +294,19 @@
 // behind once runs only late jobs from then on: those that have just arrived wait until they
 // are late too.
 func compareWaiting(a, b waitingStep) int {
-	return cmp.Or(
-		cmp.Compare(a.missesDeadline, b.missesDeadline),
-		cmp.Compare(a.queue.Priority, b.queue.Priority),
-		compareBool(a.late, b.late),
-		cmp.Compare(a.objectiveMS, b.objectiveMS),
-		cmp.Compare(a.ref.Job, b.ref.Job),
-		cmp.Compare(a.ref.Occurrence, b.ref.Occurrence),
-		cmp.Compare(a.ref.Step, b.ref.Step),
-	)
+	if c := cmp.Compare(a.missesDeadline, b.missesDeadline); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.queue.Priority, b.queue.Priority); c != 0 {
+		return c
+	}
+	if c := compareBool(a.late, b.late); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.objectiveMS, b.objectiveMS); c != 0 {
+		return c
+	}
+	return cmp.Or(cmp.Compare(a.ref.Job, b.ref.Job), cmp.Compare(a.ref.Occurrence, b.ref.Occurrence), cmp.Compare(a.ref.Step, b.ref.Step))
 }
 
 // isLate reports whether the job of a step cannot be done by its objective any more.
--- a/coordination/jobs/waitinglog.go
+++ b/coordination/jobs/waitinglog.go
@@ -22,7 +22,7 @@
 	}
 	var steps, gangs, holding, inFlight int
 	for _, s := range l.steps {
-		if s.job.Phase.Final() || len(s.waiting()) == 0 {
+		if s.job.Phase.Final() || !s.mayHaveWaiting() {
 			continue
 		}
 		steps++
