--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -60,13 +60,15 @@
 
 // mayAdmitIncarnation reports whether a new incarnation of a worker can join, which ends
 // all runs of the previous one. If it cannot join yet, the previous one is marked as
-// replaced, so that the remaining runs are stopped.
+// replaced, so that it gets no more work and the remaining runs are stopped. While an
+// assignment to it is being committed, the new incarnation cannot join: the commit would send
+// the starts, which the new incarnation executes.
 func (l *Leader) mayAdmitIncarnation(id string) bool {
 	w := l.workers[id]
 	if w == nil {
 		return true
 	}
-	if at, known := l.lateStartsEndAt(w); !known || l.now < at {
+	if at, known := l.lateStartsEndAt(w); !known || l.now < at || w.pendingTasks > 0 {
 		l.markReplaced(w)
 		return false
 	}
--- a/coordination/jobs/incarnation_test.go
+++ b/coordination/jobs/incarnation_test.go
@@ -28,3 +28,27 @@
 	}
 	// The simulation fails the test if a task runs on two workers.
 }
+
+// Guards against a task that runs on two workers at once: the next incarnation of a worker
+// joins while an assignment to the previous one is being committed. Its start then reaches the
+// next incarnation, and the join ends the run, so that the task is placed on another worker.
+// The soak test found this with seed 512.
+func TestNextIncarnationWaitsForAssignmentsThatAreBeingCommitted(t *testing.T) {
+	for seed := uint64(1); seed <= 20 && !t.Failed(); seed++ {
+		sim := newReadySimulation(t, seed, 2, nil)
+		sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 3000)}})
+		ref := job.StepRef{Job: "r"}
+		for sim.leader.steps[ref] == nil || len(sim.leader.steps[ref].pendingAssignments) == 0 {
+			sim.run(sim.now + time.Millisecond)
+		}
+		x := sim.workers[sim.leader.steps[ref].pendingAssignments[0]+":1"]
+		x.startIncarnation(x.id)
+		x.sequence++
+		sim.handle(WorkerHeartbeat{Worker: x.record(), ClockMS: x.clock(), Sequence: x.sequence})
+		sim.run(sim.now + 20*time.Second)
+		if p := sim.phase("r"); p != job.Completed {
+			t.Errorf("the job is %q", p)
+		}
+		// The simulation fails the test if a task runs on two workers.
+	}
+}
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -43,6 +43,7 @@
 			delete(s.pendingAssignments, it.Index)
 			if w := l.workers[it.Worker]; w != nil && w.StartedMS == it.StartedMS {
 				w.pendingAmount = w.pendingAmount.Sub(need)
+				w.pendingTasks--
 			}
 		}
 	}
@@ -50,6 +51,7 @@
 		s.pendingAssignments[it.Index] = it.Worker
 		w := l.workers[it.Worker]
 		w.pendingAmount = w.pendingAmount.Add(need)
+		w.pendingTasks++
 	}
 	cmd := &job.Command{Assign: &job.Assign{StepRef: s.ref, AtMS: l.wallMS, Items: items}}
 	ok := l.propose(cmd, func(a job.Applied, committed bool) {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -63,6 +63,7 @@
 	deliveredAck    int64         // number of the last end whose acknowledgement the worker has received
 	runs            map[job.TaskRef]*run
 	pendingAmount   resource.Amount // capacity of assignments that are being committed
+	pendingTasks    int             // tasks of these assignments
 	nextReconcile   time.Duration   // time of the next reconciliation, 0 for none
 	failures        failureStreak
 	bestEffortPace  paceController
