--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/primrosereach/primrosereach/state/job"
@@ -32,7 +33,7 @@
 func (l *Leader) planGang(p *schedulingPass, s *step, waiting []int) []job.Assignment {
 	all := l.candidates(p, s, l.workersWithTicket(p, s), s.ticketFilter(l.now))
 	if s.spec.RackSensitive {
-		for _, rack := range racksOf(all) {
+		for _, rack := range groupByRack(all, func(c candidate) *worker { return c.w }) {
 			if items := fillGang(s, waiting, rack); items != nil {
 				return items
 			}
@@ -60,21 +61,16 @@
 	return items
 }
 
-// racksOf groups candidates by rack, ordered by the name of the rack.
-func racksOf(all []candidate) [][]candidate {
-	byRack := map[string][]candidate{}
-	var names []string
-	for _, c := range all {
-		rack := rackOf(c.w.rec)
-		if byRack[rack] == nil {
-			names = append(names, rack)
-		}
-		byRack[rack] = append(byRack[rack], c)
+// groupByRack groups values by the racks of their workers, ordered by the name of the rack.
+func groupByRack[T any](all []T, workerOf func(T) *worker) [][]T {
+	byRack := map[string][]T{}
+	for _, x := range all {
+		rack := rackOf(workerOf(x).rec)
+		byRack[rack] = append(byRack[rack], x)
 	}
-	slices.Sort(names)
-	var out [][]candidate
-	for _, n := range names {
-		out = append(out, byRack[n])
+	var out [][]T
+	for _, rack := range slices.Sorted(maps.Keys(byRack)) {
+		out = append(out, byRack[rack])
 	}
 	return out
 }
--- a/coordination/jobs/hold.go
+++ b/coordination/jobs/hold.go
@@ -146,7 +146,7 @@
 	offers := l.offers(p, s)
 	groups := [][]offer{offers}
 	if s.spec.RackSensitive {
-		groups = append(offersByRack(offers), offers)
+		groups = append(groupByRack(offers, func(o offer) *worker { return o.w }), offers)
 	}
 	for _, g := range groups {
 		if c := takeRoom(g, need, func(o *offer) int { return o.tasksThatFit }); c != nil {
@@ -198,25 +198,6 @@
 	return out
 }
 
-// offersByRack groups offers by rack, ordered by the name of the rack.
-func offersByRack(offers []offer) [][]offer {
-	byRack := map[string][]offer{}
-	var names []string
-	for _, o := range offers {
-		rack := rackOf(o.w.rec)
-		if byRack[rack] == nil {
-			names = append(names, rack)
-		}
-		byRack[rack] = append(byRack[rack], o)
-	}
-	slices.Sort(names)
-	out := make([][]offer, 0, len(names)+1)
-	for _, n := range names {
-		out = append(out, byRack[n])
-	}
-	return out
-}
-
 // reserveForNext keeps the free room of the workers that may run a gang from later steps of
 // the pass, so that running tasks make room for it as they end. Only the first gang of a
 // pass that lacks room, and that fits once these workers are idle, gets such room. If several
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -77,9 +77,11 @@
 func NewLeader(host Host, st *job.State, b Bounds, term uint64, now time.Duration, wallMS int64) *Leader {
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
-		workers: map[string]*worker{}, submitting: map[job.ID]int{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, futureOccurrences: queue.NewTimeline[job.StepRef](),
-		suspectDomains: map[string]domainSuspicion{}, queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, pruneAtMS: map[job.ID]int64{},
-		approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), needsSchedule: true, takingOver: true, starts: newStartWindow(), overload: overload{refusedShare: map[string]float64{}},
+		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{},
+		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
+		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
+		approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), overload: newOverload(), starts: newStartWindow(),
+		needsSchedule: true, takingOver: true,
 	}
 	for _, w := range st.Workers() {
 		l.trackWorker(w)
--- a/coordination/jobs/load_test.go
+++ b/coordination/jobs/load_test.go
@@ -63,6 +63,7 @@
 // loadResult summarises the outcomes of jobs by path.
 type loadResult struct {
 	jobs, inTime map[string]int
+	refused      int                  // submissions, counted by runSaturated only
 	completionMS map[string][]float64 // times from acceptance to completion in milliseconds
 }
 
--- a/coordination/jobs/overload.go
+++ b/coordination/jobs/overload.go
@@ -17,7 +17,7 @@
 	orderDelayWeight = 32
 	// refusalAdjustTime is the time in which the refused share of a queue's submissions rises
 	// from 0 to 1 while the queue is behind, and falls back afterwards. Most bursts last for a
-	// few seconds: if the share rose faster, more callers were refused than had to be.
+	// few seconds; a faster rise refuses callers whose work could still be done in time.
 	refusalAdjustTime = 2 * time.Second
 	// maxRefusedShare leaves some submissions, so that a queue that is not behind any more is
 	// noticed.
@@ -38,6 +38,8 @@
 	adjustedAt   time.Duration      // time at which refusedShare was last adjusted
 }
 
+func newOverload() overload { return overload{refusedShare: map[string]float64{}} }
+
 // adjust raises the refused shares of the queues that are behind and lowers all others. It is
 // called after each scheduling pass.
 func (o *overload) adjust(now time.Duration, behind map[string]bool) {
--- a/coordination/jobs/overload_test.go
+++ b/coordination/jobs/overload_test.go
@@ -62,3 +62,38 @@
 		t.Errorf("%d of 50 submissions were refused while an earlier attempt was being committed", r)
 	}
 }
+
+// Guards against refusals of a queue that keeps up because another one is behind, and against
+// refusals that last after the queue has caught up.
+func TestOnlyTheQueueThatIsBehindRefusesSubmissions(t *testing.T) {
+	sim := newReadySimulation(t, 6, 4, nil)
+	o := &sim.leader.overload
+	for at := sim.now; at < sim.now+refusalAdjustTime; at += 20 * time.Millisecond {
+		o.adjust(at, map[string]bool{"batch": true})
+	}
+	const n = 200
+	batch, urgent := 0, 0
+	for i := range n {
+		if o.refuses(job.ID(fmt.Sprint("b", i)), "batch", sim.wallMS()) {
+			batch++
+		}
+		if o.refuses(job.ID(fmt.Sprint("u", i)), "urgent", sim.wallMS()) {
+			urgent++
+		}
+	}
+	if batch < n/2 || batch == n || urgent > 0 {
+		t.Errorf("%d of %d submissions were refused by the queue that is behind, %d by the other", batch, n, urgent)
+	}
+	sim.run(sim.now + 2*refusalAdjustTime)
+	if len(o.refusedShare) > 0 {
+		t.Errorf("refused shares after the queue has caught up: %v", o.refusedShare)
+	}
+}
+
+// Guards against refusals while the leader's process keeps up.
+func TestNothingIsRefusedBelowTheCapacityOfTheProcess(t *testing.T) {
+	r := runSaturated(t, 3, 60)
+	if r.refused > 0 {
+		t.Errorf("%d submissions were refused, %d accepted", r.refused, r.jobs["/u/"])
+	}
+}
--- a/coordination/jobs/saturation_test.go
+++ b/coordination/jobs/saturation_test.go
@@ -25,7 +25,13 @@
 	sim.run(300 * time.Millisecond)
 	sim.scheduleArrival(&p, &p.classes[0], 0)
 	sim.run(length)
-	return sim.loadResult(length)
+	r := sim.loadResult(length)
+	for _, a := range sim.answers {
+		if a.Code == CodeRefused {
+			r.refused++
+		}
+	}
+	return r
 }
 
 // Guards against congestion collapse: a leader whose process is full sends all starts at once,
