--- a/coordination/jobs/effect.go
+++ b/coordination/jobs/effect.go
@@ -57,6 +57,8 @@
 		UntilMS  int64 // end of the lease on the worker's clock, 0 to leave the lease unchanged
 		AckedEnd int64 // number of the last acknowledged end; the worker lists later ones only
 		WaitMS   int   // milliseconds for which the worker may wait for an end before it answers
+
+		NextIncarnation bool // the next incarnation under the worker's ID may answer as well
 	}
 
 	// RequestAdvice asks which workers may run a step. It is answered with AdviceAnswered.
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -131,6 +131,7 @@
 		r.workingSince = x.sim.now
 	}
 	x.runs[e.TaskRef] = r
+	x.sim.highestStart[e.TaskRef] = max(x.sim.highestStart[e.TaskRef], e.Run)
 	return OrderDone
 }
 
@@ -176,7 +177,7 @@
 	if r := x.checkOrder(e.Order); r != OrderDone {
 		return Observed{Observe: *e, Result: r, ClockMS: x.clock()}
 	}
-	if r := x.checkIncarnation(e.Order, OrderDone); r != OrderDone {
+	if r := x.checkIncarnation(e.Order, OrderDone); r != OrderDone && !e.NextIncarnation {
 		return Observed{Observe: *e, Result: r, ClockMS: x.clock()}
 	}
 	if e.UntilMS > 0 {
@@ -235,6 +236,9 @@
 	case e.Number <= x.voidUpTo:
 	case e.Kind == job.EndDone:
 		x.sim.ackedDone[e.TaskRef] = true
+		if n := x.sim.highestStart[e.TaskRef]; n > e.Run {
+			x.sim.errorf("the end of run %d of task %s as done is acknowledged after run %d has started", e.Run, e.TaskRef, n)
+		}
 	case e.Kind == job.EndFailed:
 		x.sim.ackedFailures[e.TaskRef]++
 	}
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -1,13 +1,19 @@
 package jobs
 
-import "time"
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
 
 // A worker may restart under its previous ID. Orders identify a worker by ID only, so the
 // next incarnation can execute a start that was sent to the previous one. A run ended with
 // the previous incarnation if that incarnation confirmed the run and no start of the run was
 // left unanswered. The next incarnation may have started any other run. It does not start a
 // run after it has confirmed a stop of that run, so such a run has ended once
-// Bounds.StopTime has passed after the confirmation.
+// Bounds.StopTime has passed after the confirmation. How it has ended is not known before the
+// next incarnation lists its ends: a task may be done before the stop takes effect, and the end
+// counts once it is acknowledged.
 
 // markReplaced records that another incarnation answers at a worker's address, and stops
 // the runs whose start that incarnation may execute.
@@ -46,18 +52,74 @@
 }
 
 // removeIfReplaced removes the previous incarnation of a worker, and ends its runs, once the
-// next incarnation certainly runs none of them.
+// next incarnation certainly runs none of them and has listed how they have ended.
 func (l *Leader) removeIfReplaced(w *worker) {
 	at, known := l.lateStartsEndAt(w)
 	switch {
-	case !known:
+	case !known || w.committingEnds:
 	case l.now < at:
 		w.reconcileAt(at)
+	case at > 0 && w.nextListedAt < at:
+		l.observeNext(w)
 	default:
 		l.proposeLeave(w, false)
 	}
 }
 
+// observeNext polls the next incarnation of a worker for the ends of runs that were meant for
+// the previous one.
+func (l *Leader) observeNext(w *worker) {
+	switch {
+	case w.observing:
+	case l.now < w.observeAt:
+		w.reconcileAt(w.observeAt)
+	default:
+		w.observing = true
+		l.sendOrder(Observe{Order: l.newOrder(w), NextIncarnation: true}, 0)
+	}
+}
+
+// nextObserved records how runs that were meant for the previous incarnation of a worker have
+// ended on the next one. If an incarnation with another ID answers, nothing has started there.
+func (l *Leader) nextObserved(w *worker, e *Observed) {
+	w.observing, w.observeAt = false, l.now
+	l.markForReconcile(w)
+	switch e.Result {
+	case OrderDone:
+		l.commitLateRuns(w, e)
+	case OrderWrongIncarnation:
+	case OrderLost:
+		return
+	default:
+		w.observeAt = l.now + observeRetry
+		if w.misses++; w.misses >= maxMisses {
+			l.unanswered(w, "observe", e.Result)
+		}
+		return
+	}
+	w.nextListedAt = e.Observe.SentAt
+}
+
+// commitLateRuns replicates the ends that the next incarnation of a worker lists for runs that
+// were meant for the previous one, and stops those that it still runs. The ends are
+// acknowledged when it has joined.
+func (l *Leader) commitLateRuns(w *worker, e *Observed) {
+	for i := range e.Running {
+		if r := w.runs[e.Running[i].TaskRef]; r != nil && r.number == e.Running[i].Run {
+			r.stopConfirmedByNextAt, r.nextAttempt = 0, l.now
+		}
+	}
+	var ends []job.RunEnd
+	for i := range e.Ended {
+		if r := w.runs[e.Ended[i].TaskRef]; r != nil && r.number == e.Ended[i].Run && r.startMayBeInFlight() {
+			ends = append(ends, e.Ended[i].RunEnd)
+		}
+	}
+	if len(ends) > 0 {
+		l.commitEnds(w, ends, 0)
+	}
+}
+
 // mayAdmitIncarnation reports whether a new incarnation of a worker can join, which ends
 // all runs of the previous one. If it cannot join yet, the previous one is marked as
 // replaced, so that it gets no more work and the remaining runs are stopped. While an
@@ -68,7 +130,7 @@
 	if w == nil {
 		return true
 	}
-	if at, known := l.lateStartsEndAt(w); !known || l.now < at || w.pendingTasks > 0 {
+	if at, known := l.lateStartsEndAt(w); !known || l.now < at || at > 0 && w.nextListedAt < at || w.committingEnds || w.pendingTasks > 0 {
 		l.markReplaced(w)
 		return false
 	}
--- a/coordination/jobs/incarnation_test.go
+++ b/coordination/jobs/incarnation_test.go
@@ -52,3 +52,25 @@
 		// The simulation fails the test if a task runs on two workers.
 	}
 }
+
+// Guards against a task that is started again although it is done: its start reaches the next
+// incarnation of a worker, where the task ends before the stop takes effect. The end is
+// acknowledged once that incarnation has joined, while the task runs elsewhere.
+// The soak test found this with seed 1.
+func TestEndOnNextIncarnationCounts(t *testing.T) {
+	for seed := uint64(1); seed <= 20 && !t.Failed(); seed++ {
+		sim := newReadySimulation(t, seed, 2, nil)
+		sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 60)}})
+		ref := job.StepRef{Job: "r"}
+		for sim.leader.steps[ref] == nil || len(sim.leader.steps[ref].runs) == 0 {
+			sim.run(sim.now + time.Millisecond)
+		}
+		x := sim.workers[sim.state.Job("r").Task(job.TaskRef{StepRef: ref}).Worker+":1"]
+		x.startIncarnation(x.id) // the start is in flight
+		sim.run(sim.now + 20*time.Second)
+		if p := sim.phase("r"); p != job.Completed {
+			t.Errorf("seed %d: the job is %q", seed, p)
+		}
+		// The simulation fails the test if an end as done is acknowledged after a later start.
+	}
+}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -49,6 +49,10 @@
 	if w == nil || w.Incarnation != e.Observe.Worker {
 		return
 	}
+	if e.Observe.NextIncarnation {
+		l.nextObserved(w, &e)
+		return
+	}
 	w.observing = false
 	w.observeAt = l.now
 	l.markForReconcile(w)
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -208,6 +208,7 @@
 	case OrderWrongIncarnation:
 		if r.stopConfirmedByNextAt == 0 {
 			r.stopConfirmedByNextAt = l.now
+			w.leasesExpireAt = max(w.leasesExpireAt, l.nextLeaseEnd())
 		}
 		l.markReplaced(w)
 	default:
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -35,6 +35,7 @@
 	token         Token
 	ackedDone     map[job.TaskRef]bool // ends as done that were acknowledged
 	ackedFailures map[job.TaskRef]int  // number of ends as failed that were acknowledged
+	highestStart  map[job.TaskRef]int  // highest number of a run that has started
 
 	finished    map[job.TaskRef]bool // ended as done, acknowledged or not
 	cancelledAt map[job.ID]time.Duration
@@ -92,7 +93,7 @@
 func newSimulation(t testing.TB, seed uint64) *simulation {
 	sim := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: job.New(), workers: map[string]*fakeWorker{},
-		approved: map[string]bool{}, answers: map[Token]Answer{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, ackedFailures: map[job.TaskRef]int{},
+		approved: map[string]bool{}, answers: map[Token]Answer{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, ackedFailures: map[job.TaskRef]int{}, highestStart: map[job.TaskRef]int{},
 		advisorFreeAt: map[string]time.Duration{}, cancelledAt: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, approvalShare: 0.8,
 	}
 	sim.elect()
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -56,6 +56,7 @@
 	unresponsive    bool          // orders were not answered, or the worker deregistered; no new work until an observation is answered
 	committingLeave bool          // a Leave command is being committed
 	replaced        bool          // another incarnation answers at its address
+	nextListedAt    time.Duration // send time of the last observation to which the next incarnation listed its runs
 	observing       bool          // an observation is not answered yet
 	observeAtOnce   bool          // the next observation is needed even without runs and must be answered at once
 	observeAt       time.Duration // earliest time of the next observation
@@ -102,6 +103,13 @@
 	return l.now + time.Duration(float64(l.lease())*(1+clockDrift)) + l.bounds.StopTime
 }
 
+// nextLeaseEnd returns the time at which a lease that the next incarnation of a worker has
+// granted by now has certainly expired. A start that was meant for the previous incarnation
+// names a time on another clock, so the lease may be as long as workers grant.
+func (l *Leader) nextLeaseEnd() time.Duration {
+	return l.now + time.Duration(float64(l.bounds.MaxLease)*(1+clockDrift)) + l.bounds.StopTime
+}
+
 // workerJoined starts to track a new incarnation of a worker. The new incarnation replaces
 // the previous one and any other worker with the same address.
 func (l *Leader) workerJoined(c *job.Worker) {
--- a/protocol/order.go
+++ b/protocol/order.go
@@ -25,6 +25,7 @@
 	case jobs.Observe:
 		out := encodeOrderHeader(peerv1.Order_OBSERVE, &e.Order, job.TaskRef{}, 0)
 		out.LeaseEndMs, out.AckedEnd, out.WaitMs = e.UntilMS, e.AckedEnd, int64(e.WaitMS)
+		out.NextIncarnation = e.NextIncarnation
 		return out, nil
 	}
 	return nil, errors.Errorf("encode: %T is not an order to a worker", e)
@@ -49,7 +50,7 @@
 	case peerv1.Order_PACE:
 		return jobs.PaceRun{Order: header, TaskRef: task, Run: run, Percent: int(o.Percent)}, nil
 	case peerv1.Order_OBSERVE:
-		return jobs.Observe{Order: header, UntilMS: o.LeaseEndMs, AckedEnd: o.AckedEnd, WaitMS: int(o.WaitMs)}, nil
+		return jobs.Observe{Order: header, UntilMS: o.LeaseEndMs, AckedEnd: o.AckedEnd, WaitMS: int(o.WaitMs), NextIncarnation: o.NextIncarnation}, nil
 	}
 	return nil, errors.Errorf("decode order %d: unknown kind %d", o.Id, o.Kind)
 }
--- a/protocol/order_test.go
+++ b/protocol/order_test.go
@@ -20,7 +20,7 @@
 		jobs.StartRun{Order: header, TaskRef: testTask, Run: 3, Spec: "text", UntilMS: 486_000, Ticket: "ticket", Checkpoint: "00ff"},
 		jobs.StopRun{Order: header, TaskRef: testTask, Run: 3},
 		jobs.PaceRun{Order: header, TaskRef: testTask, Run: 3, Percent: 40},
-		jobs.Observe{Order: header, UntilMS: 486_000, AckedEnd: 12, WaitMS: 400},
+		jobs.Observe{Order: header, UntilMS: 486_000, AckedEnd: 12, WaitMS: 400, NextIncarnation: true},
 	} {
 		m, err := EncodeOrder(order)
 		if err != nil {
