--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -183,15 +183,21 @@
 	OrderUnavailable                         // the worker is unhealthy and has done nothing
 	OrderWrongIncarnation                    // the address belongs to another worker, or to another incarnation of the worker
 	OrderBusy                                // the VM is not in a state that allows maintenance
-	OrderLost                                // the relay did not report the result; the order may still be executed
+	OrderLost                                // the relay did not report the result; the order may have been executed
+	OrderNotSent                             // the relay got the order too late and did not send it
 )
 
 var orderResultNames = [...]string{
-	"done", "no answer", "fenced", "superseded", "late", "no room", "no ticket", "invalid", "unavailable", "other life", "busy", "lost by the relay",
+	"done", "no answer", "fenced", "superseded", "late", "no room", "no ticket", "invalid", "unavailable", "other life", "busy", "lost by the relay", "not sent by the relay",
 }
 
 // isAnswer reports whether the worker has answered.
-func (r OrderResult) isAnswer() bool { return r != OrderUnanswered && r != OrderLost }
+func (r OrderResult) isAnswer() bool {
+	return r != OrderUnanswered && r != OrderLost && r != OrderNotSent
+}
+
+// isUnknown reports whether the worker may have executed the order, now or later.
+func (r OrderResult) isUnknown() bool { return r == OrderUnanswered || r == OrderLost }
 
 // String returns the name used in log lines.
 func (r OrderResult) String() string { return orderResultNames[r] }
--- a/coordination/jobs/fake_relay_test.go
+++ b/coordination/jobs/fake_relay_test.go
@@ -73,7 +73,7 @@
 	})
 }
 
-// receive executes something at the relay, after it continues if it is frozen.
+// receive executes something at the relay, after it has continued if it is frozen.
 func (r *fakeRelay) receive(f func()) {
 	if r.frozen {
 		r.backlog = append(r.backlog, f)
@@ -117,10 +117,10 @@
 	reply func(e Event)
 }
 
-func (sim *simulation) pathOf(o Order) orderPath {
+func (sim *simulation) pathOf(e Effect) orderPath {
 	for _, r := range sim.relays {
-		if r.Address == o.Relay {
-			return r.path()
+		if r.Address == RelayOf(e) {
+			return r.path(e)
 		}
 	}
 	term := sim.term
@@ -136,19 +136,27 @@
 	}
 }
 
-func (r *fakeRelay) path() orderPath {
+func (r *fakeRelay) path(order Effect) orderPath {
 	sim := r.sim
+	reply := func(e Event) {
+		r.receive(func() {
+			report, _ := Report(e)
+			r.send(&r.reports, false, func() { sim.handle(report) })
+		})
+	}
 	return orderPath{
 		send: func(f func()) {
+			sentAt := sim.now
 			r.send(&r.orders, true, func() {
-				r.receive(func() { sim.after(sim.between(time.Millisecond, 3*time.Millisecond), f) })
-			})
-		},
-		reply: func(e Event) {
-			r.receive(func() {
-				report, _ := Report(e)
-				r.send(&r.reports, false, func() { sim.handle(report) })
+				r.receive(func() {
+					if TooOldToRelay(sim.now - sentAt) {
+						reply(NotSent(order))
+						return
+					}
+					sim.after(sim.between(time.Millisecond, 3*time.Millisecond), f)
+				})
 			})
 		},
+		reply: reply,
 	}
 }
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -88,7 +88,7 @@
 	case OrderDone:
 		l.commitLateRuns(w, e)
 	case OrderWrongIncarnation:
-	case OrderLost:
+	case OrderLost, OrderNotSent:
 		return
 	default:
 		w.observeAt = l.now + observeRetry
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -67,7 +67,7 @@
 		l.needsSchedule = true
 	case OrderWrongIncarnation:
 		l.markReplaced(w)
-	case OrderLost:
+	case OrderLost, OrderNotSent:
 		w.observeAtOnce = true
 	default:
 		w.observeAt = l.now + observeRetry
--- a/coordination/jobs/relay.go
+++ b/coordination/jobs/relay.go
@@ -10,14 +10,20 @@
 // Each message costs a process much more than its content, and one leader exchanges several
 // messages with workers for each task. Other members relay them: one message to a relay
 // carries all orders that are due, and one from it all results. Decisions stay with the
-// leader. An order that a relay executes late is as harmless as one that the network delivers
-// late: it has the leader's term, and a lease that is not extended.
+// leader. A relay sends an order at once or not at all: orders name a worker's ID, so one that
+// a frozen relay sends seconds later may reach the next incarnation of the worker, after the
+// run that it starts has ended.
 
 const (
 	// relayTimeout is the time after which the result of an order should have arrived, beside
 	// the time for which a worker may wait. A relay reports a worker that does not answer
 	// within 250 ms.
 	relayTimeout = 600 * time.Millisecond
+	// maxRelayAge is the age from which a relay does not send an order. It is so far below
+	// relayTimeout that no order is sent after it has counted as lost.
+	maxRelayAge = 350 * time.Millisecond
+	// relayBackoff is the time for which a relay that gets orders too late gets no more.
+	relayBackoff = 250 * time.Millisecond
 	// relayPause is the time for which a relay that did not report in time gets no orders.
 	relayPause = 2 * time.Second
 	// relayCheckInterval is the period of the checks of relays.
@@ -45,6 +51,17 @@
 	return ""
 }
 
+// TooOldToRelay reports whether a relay must not send an order of that age any more.
+func TooOldToRelay(age time.Duration) bool { return age >= maxRelayAge }
+
+// NotSent returns the result of an order that a relay has not sent, nil for other effects.
+func NotSent(e Effect) Event {
+	if o, ok := e.(workerOrder); ok {
+		return OrderReported{Result: OrderNotSent}.answer(o)
+	}
+	return nil
+}
+
 // relayedOrder is an order that was sent through a relay and has no result yet.
 type relayedOrder struct {
 	workerOrder
@@ -89,6 +106,10 @@
 	return near[h.Sum32()%uint32(len(near))]
 }
 
+func (r *relays) pause(address string, until time.Duration) {
+	r.pausedUntil[address] = max(r.pausedUntil[address], until)
+}
+
 // newOrder returns the common fields of an order to a worker.
 func (l *Leader) newOrder(w *worker) Order {
 	l.relays.lastID++
@@ -111,6 +132,9 @@
 		return
 	}
 	delete(l.relays.inFlight, e.ID)
+	if e.Result == OrderNotSent {
+		l.relays.pause(o.header().Relay, l.now+relayBackoff)
+	}
 	l.Handle(e.answer(o.workerOrder))
 }
 
@@ -136,7 +160,7 @@
 		o := l.relays.inFlight[id]
 		if address := o.header().Relay; !available[address] {
 			lost[address]++
-			l.relays.pausedUntil[address] = l.now + relayPause
+			l.relays.pause(address, l.now+relayPause)
 			delete(l.relays.inFlight, id)
 			l.Handle(OrderReported{Result: OrderLost}.answer(o.workerOrder))
 		}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -136,7 +136,7 @@
 	}
 	l.starts.answered(r)
 	if r.phase != starting {
-		r.unanswered = r.unanswered || !e.Result.isAnswer()
+		r.unanswered = r.unanswered || e.Result.isUnknown()
 		r.confirmed = r.confirmed || e.Result == OrderDone
 		return
 	}
@@ -146,8 +146,10 @@
 		l.taskStarted(r.ref.Job)
 		l.log("debug", "start", r.ref.String(), w.ID, "started", "run", r.number)
 		l.pace(w) // a task starts at full pace
+	case OrderNotSent:
+		r.tries-- // the worker did not see this one
 	case OrderUnanswered, OrderLost, OrderLeaseExpired, OrderFenced:
-		r.unanswered = r.unanswered || !e.Result.isAnswer()
+		r.unanswered = r.unanswered || e.Result.isUnknown()
 		r.nextAttempt = l.now + orderRetry
 		if e.Result == OrderLost {
 			r.nextAttempt = l.now
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -347,15 +347,15 @@
 	case RequestAdvice:
 		sim.afterProcessing(sim.processed()+sim.adviceTime(e), func() { sim.handle(h.answerAdvice(e)) })
 	case StartRun:
-		sim.deliver(e.Order, func(x *fakeWorker) Event {
+		sim.deliver(e, func(x *fakeWorker) Event {
 			return StartAnswered{Start: e, Result: x.checkIncarnation(e.Order, x.start(&e)), ClockMS: x.clock()}
 		}, StartAnswered{Start: e, Result: OrderUnanswered})
 	case StopRun:
-		sim.deliver(e.Order, func(x *fakeWorker) Event {
+		sim.deliver(e, func(x *fakeWorker) Event {
 			return StopAnswered{Stop: e, Result: x.checkIncarnation(e.Order, x.stop(&e)), ClockMS: x.clock()}
 		}, StopAnswered{Stop: e, Result: OrderUnanswered})
 	case PaceRun:
-		sim.deliver(e.Order, func(x *fakeWorker) Event {
+		sim.deliver(e, func(x *fakeWorker) Event {
 			return PaceAnswered{Pace: e, Result: x.checkIncarnation(e.Order, x.pace(&e))}
 		}, PaceAnswered{Pace: e, Result: OrderUnanswered})
 	case Observe:
@@ -392,8 +392,8 @@
 // deliver passes an order to the worker at its address. f executes the order and returns the
 // answer. If the worker cannot be reached the order is lost, and a share of the other orders
 // is executed late; in both cases the leader receives the event lost after testTimeout.
-func (sim *simulation) deliver(o Order, f func(x *fakeWorker) Event, lost Event) {
-	path := sim.pathOf(o)
+func (sim *simulation) deliver(order workerOrder, f func(x *fakeWorker) Event, lost Event) {
+	path, o := sim.pathOf(order), order.header()
 	path.send(func() {
 		x := sim.workers[o.Address]
 		if x == nil || x.partitioned || x.stopped {
@@ -417,7 +417,7 @@
 // observe delivers an observation to a worker, which delays its answer until a run has
 // ended or the wait has expired.
 func (sim *simulation) observe(o Observe) {
-	path := sim.pathOf(o.Order)
+	path := sim.pathOf(o)
 	wait := time.Duration(o.WaitMS) * time.Millisecond
 	lost := func() {
 		sim.after(testTimeout, func() { path.reply(Observed{Observe: o, Result: OrderUnanswered}) })
--- a/protocol/order.go
+++ b/protocol/order.go
@@ -76,7 +76,7 @@
 // DecodeOrderReport is the inverse of EncodeOrderReport.
 func DecodeOrderReport(r *peerv1.OrderReport) (jobs.OrderReported, error) {
 	out := jobs.OrderReported{ID: r.Id, Term: r.Term, Result: jobs.OrderResult(r.Result), ClockMS: r.ClockMs}
-	if r.Result > uint32(jobs.OrderLost) {
+	if r.Result > uint32(jobs.OrderNotSent) {
 		return out, errors.Errorf("decode the report on order %d: unknown result %d", r.Id, r.Result)
 	}
 	for _, t := range r.Running {
--- a/transport/control/clock.go
+++ b/transport/control/clock.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -52,6 +53,23 @@
 	}, bootTime)
 }
 
+// Clock measures the time since its start like the clock of a Loop. It can be used by several
+// goroutines.
+type Clock struct {
+	mu    sync.Mutex
+	clock *clock
+}
+
+// NewClock returns a clock that starts now.
+func NewClock() *Clock { return &Clock{clock: systemClock()} }
+
+// Now returns the time since the start, including the time for which the VM was suspended.
+func (c *Clock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock.now().Now
+}
+
 // bootTime returns the time since the system was booted, including the time for which the
 // VM was suspended.
 func bootTime() (time.Duration, error) {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -48,22 +48,32 @@
 	// OnCall, if set, is called with the operation of each call to another process. It
 	// must be set before the first call and must not block.
 	OnCall func(operation string)
-	// Self is the peer address of this process, to which reports about its orders are sent.
-	// It must be set before the first order.
-	Self string
+	// Self describes this process to those that relay its orders. It must be set before the
+	// first order.
+	Self Self
 
 	mu      sync.Mutex
 	queues  map[string]chan outgoing // by address
 	clients map[string]peerv1connect.PeerServiceClient
+	clocks  map[string]clockEstimate // by address
 	wg      sync.WaitGroup
 }
 
+// Self is what a process that sends orders through others tells them about itself.
+type Self struct {
+	Address string // peer address, to which the results are sent
+	ClockID uint64 // identifies the clock, random at each start
+	// Now reads the clock. It includes the time for which the VM was suspended.
+	Now func() time.Duration
+}
+
 // NewClient returns a client whose sender goroutines run until ctx ends. The token is
 // sent to peers as bearer token, "" for none; scheme is http or https.
 func NewClient(ctx context.Context, httpClient connect.HTTPClient, scheme, token string, logger hclog.Logger) *Client {
 	return &Client{
 		http: httpClient, scheme: scheme, token: token, logger: logger, ctx: ctx,
 		queues: map[string]chan outgoing{}, clients: map[string]peerv1connect.PeerServiceClient{},
+		clocks: map[string]clockEstimate{},
 	}
 }
 
@@ -72,6 +82,7 @@
 	message *replication.Message
 	order   jobs.Effect
 	report  *jobs.OrderReported
+	at      time.Duration // time at which the order was issued
 }
 
 // Send queues a replication message for the process at an address. It never blocks: the
@@ -83,7 +94,7 @@
 // SendOrder queues an order to a worker that the process at an address is to send. Like Send,
 // it never blocks and may drop the order.
 func (c *Client) SendOrder(address string, order jobs.Effect) {
-	c.enqueue(address, outgoing{order: order})
+	c.enqueue(address, outgoing{order: order, at: c.Self.Now()})
 }
 
 // SendReport queues the result of an order for the process at an address. Like Send, it never
@@ -164,7 +175,7 @@
 
 func (c *Client) deliverBatch(address string, batch []outgoing) error {
 	timeout := deliverTimeout
-	req := &peerv1.DeliverRequest{Sender: c.Self}
+	req := &peerv1.DeliverRequest{Sender: c.Self.Address, ClockId: c.Self.ClockID}
 	for i := range batch {
 		if err := addToRequest(req, &batch[i]); err != nil {
 			return errors.Wrap(err, "encode")
@@ -176,7 +187,15 @@
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
 	c.count(deliverOperation)
-	_, err := c.client(address).Deliver(ctx, c.request(req))
+	if c.Self.Now == nil {
+		_, err := c.client(address).Deliver(ctx, c.request(req))
+		return err
+	}
+	sentAt := c.Self.Now()
+	res, err := c.client(address).Deliver(ctx, c.request(req))
+	if err == nil {
+		c.updateClock(address, res.Msg, sentAt)
+	}
 	return err
 }
 
@@ -193,6 +212,7 @@
 		if err != nil {
 			return err
 		}
+		o.SentAtNs = int64(x.at)
 		req.Orders = append(req.Orders, o)
 	default:
 		req.Reports = append(req.Reports, protocol.EncodeOrderReport(x.report))
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -24,7 +24,8 @@
 	mu     sync.Mutex
 	events []coordination.Event
 	orders []jobs.Effect
-	sender string
+	from   Origin
+	clock  func() time.Duration
 }
 
 func (r *receiver) Send(_ context.Context, ev coordination.Event) bool {
@@ -34,13 +35,15 @@
 	return true
 }
 
-func (r *receiver) RelayOrder(sender string, order jobs.Effect) {
+func (r *receiver) RelayOrder(from Origin, order jobs.Effect) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.sender = sender
+	r.from = from
 	r.orders = append(r.orders, order)
 }
 
+func (r *receiver) ReadClock() (id uint64, now time.Duration) { return 7, r.clock() }
+
 func (r *receiver) Perform(context.Context, protocol.Operation) protocol.Result {
 	return protocol.Result{}
 }
@@ -53,15 +56,16 @@
 
 // startPeers returns a client and the address and the record of a process that it can call.
 func startPeers(t *testing.T, relay bool) (*Client, string, *receiver) {
-	r := &receiver{}
+	r := &receiver{clock: func() time.Duration { return 0 }}
 	var relayer OrderRelay
 	if relay {
 		relayer = r
 	}
 	server := httptest.NewServer(NewHandler(r, r, relayer, access.NewInsecure(), hclog.NewNullLogger()))
+	start := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := NewClient(ctx, http.DefaultClient, "http", "", hclog.NewNullLogger())
-	c.Self = "10.0.0.1:7000"
+	c.Self = Self{Address: "10.0.0.1:7000", ClockID: 1, Now: func() time.Duration { return time.Since(start) }}
 	t.Cleanup(func() {
 		cancel()
 		c.Wait()
@@ -99,8 +103,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.sender != c.Self {
-		t.Errorf("the orders name the sender %q", r.sender)
+	if r.from.Address != c.Self.Address || r.from.ClockID != c.Self.ClockID {
+		t.Errorf("the orders come from %+v", r.from)
 	}
 }
 
@@ -127,3 +131,27 @@
 		t.Errorf("%d orders were relayed", orders)
 	}
 }
+
+// Guards against an order that is sent long after it was issued: the relay, or the process that
+// issued the order, was suspended in between. Their clocks start at different times.
+func TestAgeIncludesSuspensions(t *testing.T) {
+	var now time.Duration // of both VMs
+	const ahead = time.Hour
+	c, address, r := startPeers(t, true)
+	c.Self.Now = func() time.Duration { return now }
+	r.clock = func() time.Duration { return now + ahead }
+	issued := Origin{Address: address, ClockID: 7, SentAt: ahead}
+	if _, ok := c.Age(issued); ok {
+		t.Error("an age although the clock is not known")
+	}
+	if err := c.deliverBatch(address, []outgoing{{report: &jobs.OrderReported{}}}); err != nil {
+		t.Fatal(err)
+	}
+	now = 5 * time.Second // for most of which one of them was suspended
+	if age, ok := c.Age(issued); !ok || age != now {
+		t.Errorf("age %v, %t after %v", age, ok, now)
+	}
+	if _, ok := c.Age(Origin{Address: address, ClockID: 8}); ok {
+		t.Error("an age of an order of another incarnation of the process")
+	}
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/go-faster/errors"
@@ -37,9 +38,11 @@
 
 // OrderRelay sends orders to workers for another process.
 type OrderRelay interface {
-	// RelayOrder sends an order and later reports its result to the process at the peer
-	// address sender. It does not block.
-	RelayOrder(sender string, order jobs.Effect)
+	// RelayOrder sends an order and later reports its result to the process that issued it.
+	// It does not block.
+	RelayOrder(from Origin, order jobs.Effect)
+	// ReadClock returns the ID and a reading of the clock of this process.
+	ReadClock() (id uint64, now time.Duration)
 }
 
 type server struct {
@@ -84,7 +87,7 @@
 			return nil, connect.NewError(connect.CodeUnavailable, errors.New("the process is stopping"))
 		}
 	}
-	if err := s.relayOrders(r.Msg.Sender, r.Msg.Orders); err != nil {
+	if err := s.relayOrders(r.Msg); err != nil {
 		s.logger.Warn("orders dropped", "step", "relay", "peer", r.Msg.Sender, "error", err.Error())
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
@@ -98,19 +101,24 @@
 			return nil, connect.NewError(connect.CodeUnavailable, errors.New("the process is stopping"))
 		}
 	}
-	return connect.NewResponse(&peerv1.DeliverResponse{}), nil
+	res := &peerv1.DeliverResponse{}
+	if s.relay != nil {
+		id, now := s.relay.ReadClock()
+		res.ClockId, res.ClockNs = id, int64(now)
+	}
+	return connect.NewResponse(res), nil
 }
 
-func (s *server) relayOrders(sender string, orders []*peerv1.Order) error {
-	if len(orders) > 0 && s.relay == nil {
+func (s *server) relayOrders(m *peerv1.DeliverRequest) error {
+	if len(m.Orders) > 0 && s.relay == nil {
 		return errors.New("this process relays no orders")
 	}
-	for _, x := range orders {
+	for _, x := range m.Orders {
 		order, err := protocol.DecodeOrder(x)
 		if err != nil {
 			return err
 		}
-		s.relay.RelayOrder(sender, order)
+		s.relay.RelayOrder(Origin{Address: m.Sender, ClockID: m.ClockId, SentAt: time.Duration(x.SentAtNs)}, order)
 	}
 	return nil
 }
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -17,6 +17,7 @@
 	"github.com/primrosereach/primrosereach/state"
 	"github.com/primrosereach/primrosereach/state/storage"
 	"github.com/primrosereach/primrosereach/transport/control"
+	"github.com/primrosereach/primrosereach/transport/peer"
 	"github.com/primrosereach/primrosereach/transport/persist"
 	"github.com/primrosereach/primrosereach/transport/random"
 )
@@ -254,17 +255,27 @@
 	m.loop.Send(m.runCtx, coordination.JobEvent{Event: ev})
 }
 
-// RelayOrder implements peer.OrderRelay. The leader that sends the orders limits their number.
-func (m *member) RelayOrder(sender string, order jobs.Effect) {
+// RelayOrder implements peer.OrderRelay. The leader that issues the orders limits their number.
+func (m *member) RelayOrder(from peer.Origin, order jobs.Effect) {
 	go func() {
-		ev := m.sendToWorker(order)
+		var ev jobs.Event
+		if age, ok := m.peers.Age(from); ok && !jobs.TooOldToRelay(age) {
+			ev = m.sendToWorker(order)
+		} else {
+			ev = jobs.NotSent(order)
+		}
 		if report, ok := jobs.Report(ev); ok {
 			m.metrics.observeOrder(ev)
-			m.peers.SendReport(sender, report)
+			m.peers.SendReport(from.Address, report)
 		}
 	}()
 }
 
+// ReadClock implements peer.OrderRelay.
+func (m *member) ReadClock() (id uint64, now time.Duration) {
+	return m.peers.Self.ClockID, m.peers.Self.Now()
+}
+
 // sendToWorker sends an order to its worker and returns the result. It returns nil for other
 // effects.
 func (m *member) sendToWorker(e jobs.Effect) jobs.Event {
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -24,7 +24,9 @@
 	"github.com/primrosereach/primrosereach/protocol"
 	"github.com/primrosereach/primrosereach/protocol/access"
 	"github.com/primrosereach/primrosereach/protocol/settings"
+	"github.com/primrosereach/primrosereach/transport/control"
 	"github.com/primrosereach/primrosereach/transport/peer"
+	"github.com/primrosereach/primrosereach/transport/random"
 )
 
 // Workers sends orders to workers. The calls return when the worker has answered or the
@@ -97,7 +99,7 @@
 	signal.Notify(reloadSignal, syscall.SIGHUP)
 	x := &process{reloadSignal: reloadSignal, settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
 	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
-	x.peers.Self = s.PeerAddress()
+	x.peers.Self = peer.Self{Address: s.PeerAddress(), ClockID: random.Uint64(), Now: control.NewClock().Now}
 	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeerAddresses()), peers: x.peers, logger: x.logger, maxStale: s.MaxStale()}
 	x.metrics = newMetrics(func() bool { return x.client.Ready() && !x.draining.Load() })
 	x.client.observeCall = x.metrics.observeCall
