--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -99,7 +99,7 @@
 	switch {
 	case len(rest) == 0:
 		return nil
-	case l.starts.full():
+	case l.startsFull():
 		heldBack = rest
 	default:
 		l.roundRobinOffset %= len(rest)
@@ -116,7 +116,7 @@
 func (l *Leader) tryPlace(p *schedulingPass, list []waitingStep, limit int) int {
 	unplaced := 0
 	for i := range list {
-		if unplaced >= limit || l.starts.full() {
+		if unplaced >= limit || l.startsFull() {
 			return i
 		}
 		s := &list[i]
--- a/coordination/jobs/relay.go
+++ b/coordination/jobs/relay.go
@@ -106,6 +106,11 @@
 	return near[h.Sum32()%uint32(len(near))]
 }
 
+// available reports whether any relay can be used.
+func (r *relays) available(now time.Duration) bool {
+	return slices.ContainsFunc(r.all, func(x Relay) bool { return now >= r.pausedUntil[x.Address] })
+}
+
 func (r *relays) pause(address string, until time.Duration) {
 	r.pausedUntil[address] = max(r.pausedUntil[address], until)
 }
--- a/coordination/jobs/saturation_test.go
+++ b/coordination/jobs/saturation_test.go
@@ -82,20 +82,37 @@
 // Guards against workers that do not answer, of a failure domain that was cut off, and hold up
 // the starts on all others.
 func TestUnansweredStartsLeaveTheWindow(t *testing.T) {
-	w := newStartWindow()
-	for range maxStartsInFlight {
-		w.sent(&run{}, time.Second)
+	l := newSimulation(t, 1).leader
+	for range maxDirectStarts {
+		l.starts.sent(&run{}, time.Second)
 	}
-	w.expire(time.Second + slowStart - time.Millisecond)
-	if !w.full() {
+	l.starts.expire(time.Second + slowStart - time.Millisecond)
+	if !l.startsFull() {
 		t.Error("the window is not full although the starts were sent a moment ago")
 	}
-	w.expire(time.Second + slowStart)
-	if w.full() {
+	l.starts.expire(time.Second + slowStart)
+	if l.startsFull() {
 		t.Error("the window is still full")
 	}
 }
 
+// Guards against a window for relayed starts that stays open after the last relay was lost: the
+// process then sends all orders itself.
+func TestWindowFollowsTheRelays(t *testing.T) {
+	l := newSimulation(t, 1).leader
+	for range maxDirectStarts {
+		l.starts.sent(&run{}, l.now)
+	}
+	l.relays.all = []Relay{{Address: "relay"}}
+	if l.startsFull() {
+		t.Error("the window is full although a relay can be used")
+	}
+	l.relays.pause("relay", l.now+relayPause)
+	if !l.startsFull() {
+		t.Error("the window is not full although the only relay is paused")
+	}
+}
+
 // Guards against a window that never empties, since starts that were rejected, or assignments
 // that were not committed, still count.
 func TestWindowIsEmptyAfterTheLoad(t *testing.T) {
--- a/coordination/jobs/startwindow.go
+++ b/coordination/jobs/startwindow.go
@@ -3,10 +3,14 @@
 import "time"
 
 const (
-	// maxStartsInFlight is the number of starts in flight from which no more tasks are placed.
-	// At a commit and an answer in 25 ms it allows 1,600 starts a second. When the process
-	// does less, its other work, replication above all, waits behind these starts only.
-	maxStartsInFlight = 40
+	// maxDirectStarts is the number of starts in flight from which no more tasks are placed
+	// while this process sends the orders itself. At a commit and an answer in 25 ms it allows
+	// 1,600 starts a second. When the process does less, its other work, replication above all,
+	// waits behind these starts only.
+	maxDirectStarts = 40
+	// maxRelayedStarts takes its place while relays send the orders. Relayed starts share
+	// messages, so more of them delay replication by as much.
+	maxRelayedStarts = 120
 	// slowStart is the time after which an unanswered start does not count as in flight any
 	// more: its worker may not answer at all.
 	slowStart = 120 * time.Millisecond
@@ -40,5 +44,10 @@
 
 func (w *startWindow) inFlight() int { return w.committing + len(w.sentAt) }
 
-// full reports whether no more tasks should be placed now.
-func (w *startWindow) full() bool { return w.inFlight() >= maxStartsInFlight }
+// startsFull reports whether no more tasks should be placed now.
+func (l *Leader) startsFull() bool {
+	if l.relays.available(l.now) {
+		return l.starts.inFlight() >= maxRelayedStarts
+	}
+	return l.starts.inFlight() >= maxDirectStarts
+}
