--- a/coordination/jobs/fake_relay_test.go
+++ b/coordination/jobs/fake_relay_test.go
@@ -12,8 +12,9 @@
 	sim       *simulation
 	orders    messageQueue
 	reports   messageQueue
-	frozen    bool // executes what it has received when it continues
-	noContact bool // the leader does not see it
+	frozen    bool          // executes what it has received when it continues
+	noContact bool          // the leader does not see it
+	delay     time.Duration // additional time until it sends an order
 	backlog   []func()
 }
 
@@ -153,7 +154,7 @@
 						reply(NotSent(order))
 						return
 					}
-					sim.after(sim.between(time.Millisecond, 3*time.Millisecond), f)
+					sim.after(r.delay+sim.between(time.Millisecond, 3*time.Millisecond), f)
 				})
 			})
 		},
--- a/coordination/jobs/relay.go
+++ b/coordination/jobs/relay.go
@@ -26,6 +26,13 @@
 	relayBackoff = 250 * time.Millisecond
 	// relayPause is the time for which a relay that did not report in time gets no orders.
 	relayPause = 2 * time.Second
+	// slowRelayDelay and slowRelayFactor define a slow relay: its starts take longer than
+	// slowRelayDelay, and slowRelayFactor times as long as those of the fastest one. If all are
+	// slow, it is the leader that does not keep up.
+	slowRelayDelay  = 60 * time.Millisecond
+	slowRelayFactor = 4
+	// startDelayWeight is the inverse weight of one start in the average.
+	startDelayWeight = 16
 	// relayCheckInterval is the period of the checks of relays.
 	relayCheckInterval = 50 * time.Millisecond
 )
@@ -72,13 +79,14 @@
 type relays struct {
 	all         []Relay                  // members in contact, ordered by address
 	pausedUntil map[string]time.Duration // by peer address, for relays that did not report in time
+	startDelay  map[string]time.Duration // by peer address, moving average of the time until a start is reported
 	inFlight    map[uint64]relayedOrder  // by order ID
 	lastID      uint64
 	nextCheck   time.Duration
 }
 
 func newRelays() relays {
-	return relays{pausedUntil: map[string]time.Duration{}, inFlight: map[uint64]relayedOrder{}}
+	return relays{pausedUntil: map[string]time.Duration{}, startDelay: map[string]time.Duration{}, inFlight: map[uint64]relayedOrder{}}
 }
 
 // choose returns the peer address of the relay for a worker, or "" if there is none. A relay
@@ -140,9 +148,30 @@
 	if e.Result == OrderNotSent {
 		l.relays.pause(o.header().Relay, l.now+relayBackoff)
 	}
+	if _, ok := o.workerOrder.(StartRun); ok && e.Result.isAnswer() {
+		l.startRelayed(o.header())
+	}
 	l.Handle(e.answer(o.workerOrder))
 }
 
+// startRelayed adds a reported start to the average of its relay, and pauses the relay if it is
+// slow.
+func (l *Leader) startRelayed(o Order) {
+	delays := l.relays.startDelay
+	delays[o.Relay] += (l.now - o.SentAt - delays[o.Relay]) / startDelayWeight
+	fastest := delays[o.Relay]
+	for _, x := range l.relays.all {
+		if d, ok := delays[x.Address]; ok {
+			fastest = min(fastest, d)
+		}
+	}
+	if d := delays[o.Relay]; d > slowRelayDelay && d > slowRelayFactor*fastest {
+		l.log("warn", "relay", "", o.Relay, "the relay is slow", "start_delay_ms", d.Milliseconds(), "fastest_ms", fastest.Milliseconds(), "pause_ms", relayPause.Milliseconds())
+		l.relays.pause(o.Relay, l.now+relayPause)
+		delete(delays, o.Relay)
+	}
+}
+
 // checkRelays updates the list of relays. It pauses those that did not report an order in time,
 // and all orders that were sent through a paused or missing relay count as lost.
 func (l *Leader) checkRelays() {
--- a/coordination/jobs/saturation_test.go
+++ b/coordination/jobs/saturation_test.go
@@ -5,6 +5,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
 )
 
 // runSaturated runs short urgent jobs on workers with ample room at a rate, on a leader whose
@@ -96,6 +98,41 @@
 	}
 }
 
+// Guards against a member that runs slowly and delays the starts of all workers of its failure
+// domain, although others could send them.
+func TestSlowRelayIsNotUsed(t *testing.T) {
+	sim := newSimulation(t, 2)
+	sim.configure(3, nil)
+	for i := range 20 {
+		sim.addWorker(fmt.Sprintf("w%02d", i), 16).domain = fmt.Sprint("d", i%2)
+	}
+	slow := sim.addRelay("d0")
+	sim.addRelay("d1")
+	sim.heartbeats()
+	sim.run(500 * time.Millisecond)
+	submit := func(n int) {
+		for range n {
+			sim.submit("/u/", job.Submission{ID: job.ID(fmt.Sprint("j", sim.token)), Steps: []job.Step{tasks(3, 1, 50)}})
+			sim.run(sim.now + 50*time.Millisecond)
+		}
+	}
+	submit(40)
+	if until := sim.leader.relays.pausedUntil[slow.Address]; until > 0 {
+		t.Error("a relay was paused although none is slow")
+	}
+	slow.delay = 150 * time.Millisecond
+	submit(40)
+	if sim.now >= sim.leader.relays.pausedUntil[slow.Address] {
+		t.Errorf("the slow relay is used: starts take %v through it", sim.leader.relays.startDelay[slow.Address])
+	}
+	slow.delay = 0
+	sim.run(sim.now + relayPause)
+	submit(40)
+	if sim.now < sim.leader.relays.pausedUntil[slow.Address] {
+		t.Error("the relay is not used again")
+	}
+}
+
 // Guards against workers that do not answer, of a failure domain that was cut off, and hold up
 // the starts on all others.
 func TestUnansweredStartsLeaveTheWindow(t *testing.T) {
