--- a/protocol/order.go
+++ b/protocol/order.go
@@ -8,8 +8,8 @@
 	"github.com/primrosereach/primrosereach/state/job"
 )
 
-// EncodeOrder returns the transmitted form of an order to a worker. The relay and the time at
-// which it was sent mean something to the leader only and are left out.
+// EncodeOrder returns the transmitted form of an order to a worker. It leaves out the relay and
+// the leader's time; the transport adds a reading of a clock that the relay can compare.
 func EncodeOrder(e jobs.Effect) (*peerv1.Order, error) {
 	switch e := e.(type) {
 	case jobs.StartRun:
--- a/transport/peer/clock.go
+++ b/transport/peer/clock.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// CanRelay reports whether the process at an address relays orders: it has answered a call with
+// a reading of its clock. Processes of versions without relays do not.
+func (c *Client) CanRelay(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.clocks[address]
+	return ok
+}
+
 // Age returns an upper bound of the time since an order was issued, including the time for which
 // either VM was suspended. It returns false if the clock of the process that issued it is not
 // known.
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -141,12 +141,15 @@
 	c.Self.Now = func() time.Duration { return now }
 	r.clock = func() time.Duration { return now + ahead }
 	issued := Origin{Address: address, ClockID: 7, SentAt: ahead}
-	if _, ok := c.Age(issued); ok {
-		t.Error("an age although the clock is not known")
+	if _, ok := c.Age(issued); ok || c.CanRelay(address) {
+		t.Error("an age, or a relay, although the clock is not known")
 	}
 	if err := c.deliverBatch(address, []outgoing{{report: &jobs.OrderReported{}}}); err != nil {
 		t.Fatal(err)
 	}
+	if !c.CanRelay(address) {
+		t.Error("no relay although the clock is known")
+	}
 	now = 5 * time.Second // for most of which one of them was suspended
 	if age, ok := c.Age(issued); !ok || age != now {
 		t.Errorf("age %v, %t after %v", age, ok, now)
@@ -155,3 +158,14 @@
 		t.Error("an age of an order of another incarnation of the process")
 	}
 }
+
+// Guards against orders to processes of a version that ignores them.
+func TestProcessesWithoutAClockRelayNothing(t *testing.T) {
+	c, address, _ := startPeers(t, false)
+	if err := c.deliverBatch(address, []outgoing{{report: &jobs.OrderReported{}}}); err != nil {
+		t.Fatal(err)
+	}
+	if c.CanRelay(address) {
+		t.Error("the process counts as a relay")
+	}
+}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -209,11 +209,7 @@
 			m.metrics.observeMeasurement(measure)
 			return
 		}
-		if relay := jobs.RelayOf(e.Effect); relay != "" {
-			m.peers.SendOrder(relay, e.Effect)
-			return
-		}
-		go m.executeOrder(e.Effect, m.peers.Self.Now())
+		m.startOrder(e.Effect)
 	case coordination.JobLog:
 		m.metrics.decisions.WithLabelValues(e.Line.Step).Inc()
 		m.logLine(&e.Line)
@@ -237,6 +233,20 @@
 	m.logger.Log(level, l.Message, args...)
 }
 
+// startOrder passes an order to its relay, or executes it in the background.
+func (m *member) startOrder(e jobs.Effect) {
+	relay := jobs.RelayOf(e)
+	switch {
+	case relay == "":
+		go m.executeOrder(e, m.peers.Self.Now())
+	case m.peers.CanRelay(relay):
+		m.peers.SendOrder(relay, e)
+	default:
+		report, _ := jobs.Report(jobs.NotSent(e))
+		go m.loop.Send(m.runCtx, coordination.JobEvent{Event: report})
+	}
+}
+
 // executeOrder executes one order, issued at a reading of the process's clock, and sends its
 // result to the control goroutine. The leader limits the orders in flight for each worker and
 // step, which bounds the number of goroutines.
--- a/transport/site/member_test.go
+++ b/transport/site/member_test.go
@@ -42,3 +42,20 @@
 		t.Error("a start of 3 s was sent")
 	}
 }
+
+// Guards against an order that waits for its deadline although its relay cannot send it.
+func TestOrderForUnknownRelayIsReportedAsNotSent(t *testing.T) {
+	m := &member{
+		process: &process{peers: &peer.Client{Self: peer.Self{Now: func() time.Duration { return 0 }}}},
+		loop:    control.NewLoop(), runCtx: context.Background(),
+	}
+	m.startOrder(jobs.StartRun{Order: jobs.Order{ID: 1, Relay: "10.0.0.2:7000"}})
+	for end := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		if n, _ := m.loop.QueueLength(); n == 1 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("no report after 5 s")
+		}
+	}
+}
