--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -88,7 +88,10 @@
 	case OrderDone:
 		l.commitLateRuns(w, e)
 	case OrderWrongIncarnation:
-	case OrderLost, OrderNotSent:
+	case OrderLost:
+		return
+	case OrderNotSent:
+		w.observeAt = l.now + observeRetry
 		return
 	default:
 		w.observeAt = l.now + observeRetry
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -67,8 +67,10 @@
 		l.needsSchedule = true
 	case OrderWrongIncarnation:
 		l.markReplaced(w)
-	case OrderLost, OrderNotSent:
+	case OrderLost:
 		w.observeAtOnce = true
+	case OrderNotSent:
+		w.observeAtOnce, w.observeAt = true, l.now+observeRetry
 	default:
 		w.observeAt = l.now + observeRetry
 		w.misses++
--- a/coordination/jobs/relay.go
+++ b/coordination/jobs/relay.go
@@ -80,14 +80,14 @@
 type relays struct {
 	all         []Relay                  // members in contact, ordered by address
 	pausedUntil map[string]time.Duration // by peer address, for relays that failed or are slow
-	startDelay  map[string]time.Duration // by peer address, moving average of the time until a start is reported
+	startDelays map[string]startDelay    // by peer address
 	inFlight    map[uint64]relayedOrder  // by order ID
 	lastID      uint64
 	nextCheck   time.Duration
 }
 
 func newRelays() relays {
-	return relays{pausedUntil: map[string]time.Duration{}, startDelay: map[string]time.Duration{}, inFlight: map[uint64]relayedOrder{}}
+	return relays{pausedUntil: map[string]time.Duration{}, startDelays: map[string]startDelay{}, inFlight: map[uint64]relayedOrder{}}
 }
 
 // choose returns the peer address of the relay for a worker, or "" if there is none. A relay
@@ -155,21 +155,43 @@
 	l.Handle(e.answer(o.workerOrder))
 }
 
+// startDelay is the moving average of the time until a start is reported.
+type startDelay struct {
+	average time.Duration
+	samples int
+}
+
+func (d startDelay) add(sample time.Duration) startDelay {
+	d.samples++
+	if d.samples == 1 {
+		d.average = sample
+	}
+	d.average += (sample - d.average) / startDelayWeight
+	return d
+}
+
+// isKnown reports whether there are enough samples to compare relays.
+func (d startDelay) isKnown() bool { return d.samples >= startDelayWeight }
+
 // startRelayed adds a reported start to the average of its relay, and pauses the relay if it is
 // slow.
 func (l *Leader) startRelayed(o Order) {
-	delays := l.relays.startDelay
-	delays[o.Relay] += (l.now - o.SentAt - delays[o.Relay]) / startDelayWeight
-	fastest := delays[o.Relay]
-	for _, x := range l.relays.all {
-		if d, ok := delays[x.Address]; ok {
-			fastest = min(fastest, d)
+	r := &l.relays
+	delay := r.startDelays[o.Relay].add(l.now - o.SentAt)
+	r.startDelays[o.Relay] = delay
+	if !delay.isKnown() || l.now < r.pausedUntil[o.Relay] {
+		return
+	}
+	fastest := delay.average
+	for _, x := range r.all {
+		if d := r.startDelays[x.Address]; d.isKnown() {
+			fastest = min(fastest, d.average)
 		}
 	}
-	if d := delays[o.Relay]; d > slowRelayDelay && d > slowRelayFactor*fastest {
-		l.log("warn", "relay", "", o.Relay, "the relay is slow", "start_delay_ms", d.Milliseconds(), "fastest_ms", fastest.Milliseconds(), "pause_ms", relayPause.Milliseconds())
-		l.relays.pause(o.Relay, l.now+relayPause)
-		delete(delays, o.Relay)
+	if delay.average > slowRelayDelay && delay.average > slowRelayFactor*fastest {
+		l.log("warn", "relay", "", o.Relay, "the relay is slow", "start_delay_ms", delay.average.Milliseconds(), "fastest_ms", fastest.Milliseconds(), "pause_ms", relayPause.Milliseconds())
+		r.pause(o.Relay, l.now+relayPause)
+		delete(r.startDelays, o.Relay)
 	}
 }
 
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -148,6 +148,7 @@
 		l.pace(w) // a task starts at full pace
 	case OrderNotSent:
 		r.tries-- // the worker did not see this one
+		r.nextAttempt = l.now + orderRetry
 	case OrderUnanswered, OrderLost, OrderLeaseExpired, OrderFenced:
 		r.unanswered = r.unanswered || e.Result.isUnknown()
 		r.nextAttempt = l.now + orderRetry
--- a/coordination/jobs/saturation_test.go
+++ b/coordination/jobs/saturation_test.go
@@ -117,7 +117,7 @@
 	slow.delay = 150 * time.Millisecond
 	submit(40)
 	if sim.now >= sim.leader.relays.pausedUntil[slow.Address] {
-		t.Errorf("the slow relay is used: starts take %v through it", sim.leader.relays.startDelay[slow.Address])
+		t.Errorf("the slow relay is used: starts take %v through it", sim.leader.relays.startDelays[slow.Address].average)
 	}
 	slow.delay = 0
 	sim.run(sim.now + relayPause)
@@ -127,6 +127,47 @@
 	}
 }
 
+// Guards against relays that are paused because the leader's process runs slowly: all starts take
+// long then, and the leader would have to send the orders itself.
+func TestSlowLeaderPausesNoRelay(t *testing.T) {
+	sim := newSimulation(t, 2)
+	l := sim.leader
+	l.relays.all = []Relay{{Address: "a"}, {Address: "b"}}
+	start := func(relay string) { l.startRelayed(Order{Relay: relay, SentAt: l.now - 100*time.Millisecond}) }
+	for range 50 {
+		start("a")
+	}
+	for range 50 { // b was added a moment ago
+		start("b")
+		start("a")
+	}
+	if len(l.relays.pausedUntil) > 0 {
+		t.Errorf("paused: %v", l.relays.pausedUntil)
+	}
+}
+
+// Guards against orders that are repeated without a pause while the process that is to send
+// them gets them too late, which takes the rest of its time.
+func TestUnsentOrdersAreRepeatedAfterAPause(t *testing.T) {
+	sim := newReadySimulation(t, 3, 2, nil)
+	sim.addRelay("").frozen = true
+	sim.run(sim.now + relayCheckInterval)
+	sim.submit("/u/", job.Submission{ID: "j", Steps: []job.Step{tasks(1, 1, 300)}})
+	var r *run
+	for r == nil || !r.orderInFlight {
+		sim.run(sim.now + time.Millisecond)
+		if s := sim.leader.steps[job.StepRef{Job: "j"}]; s != nil {
+			r = s.runs[0]
+		}
+	}
+	for id := range sim.leader.relays.inFlight {
+		sim.handle(OrderReported{ID: id, Term: sim.term, Result: OrderNotSent})
+	}
+	if r.orderInFlight || r.tries != 0 || r.nextAttempt < sim.now+orderRetry {
+		t.Errorf("the start is in flight: %t, %d tries, sent again in %v", r.orderInFlight, r.tries, r.nextAttempt-sim.now)
+	}
+}
+
 // Guards against workers that do not answer, of a failure domain that was cut off, and hold up
 // the starts on all others.
 func TestUnansweredStartsLeaveTheWindow(t *testing.T) {
