--- a/coordination/health/contact.go
+++ b/coordination/health/contact.go
@@ -21,7 +21,7 @@
 }
 
 // earlier returns the earlier of at and the time at which the first endpoint of l has
-// been without contact for after. ok tells whether at is set.
+// been without contact for after. ok reports whether at is set.
 func earlier(at time.Duration, ok bool, l *list.List, after time.Duration) (time.Duration, bool) {
 	front := l.Front()
 	if front == nil {
--- a/transport/peer/clock.go
+++ b/transport/peer/clock.go
@@ -17,7 +17,7 @@
 	measuredAt time.Duration
 }
 
-// Origin tells where and when an order was issued.
+// Origin is the process that issued an order, and the time at which it did.
 type Origin struct {
 	Address string        // peer address of the process that issued the order
 	ClockID uint64        // identifies the clock of that process
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -59,7 +59,7 @@
 	wg      sync.WaitGroup
 }
 
-// Self is what a process that sends orders through others tells them about itself.
+// Self describes a process to the relays of its orders.
 type Self struct {
 	Address string // peer address, to which the results are sent
 	ClockID uint64 // identifies the clock, random at each start
