platform: check range, size and nesting of every message from outside

Cause: the decoders of platform/ checked types but hardly any range. A rejected message names no runner, gets one error, is counted (rejected_messages_total) and logged once a second and kind at most. Conclusion: what is left is what a well-formed entry can claim that is not true (address, ID or start of another worker); the leader has to check that.

--- a/state/job/job.go
+++ b/state/job/job.go
@@ -62,16 +62,19 @@
 
 // Validate returns the first error found in a submission.
 func (s *Submission) Validate() error {
-	if s.ID == "" || len(s.Steps) == 0 {
-		return fmt.Errorf("job %q: the ID or the steps are missing", s.ID)
+	if err := s.ID.validate(); err != nil {
+		return err
 	}
-	if s.Repeats < 0 || s.Repeats > 0 && s.IntervalMS < 0 {
-		return fmt.Errorf("job %s: times and interval must not be negative", s.ID)
+	if len(s.Steps) == 0 {
+		return fmt.Errorf("job %q: the steps are missing", s.ID)
+	}
+	if err := s.CheckLimits(); err != nil {
+		return err
 	}
 	for i := range s.Steps {
 		st := &s.Steps[i]
-		if st.Count <= 0 || st.PerTask.IsNegative() {
-			return fmt.Errorf("job %s: step %d has no tasks or a negative size", s.ID, i)
+		if st.Count == 0 {
+			return fmt.Errorf("job %s: step %d has no tasks", s.ID, i)
 		}
 		for _, a := range st.After {
 			if a < 0 || a >= i {
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -57,6 +57,7 @@
 	logger        hclog.Logger
 	observeCall   func(operation string, code jobs.Code, took time.Duration)
 	maxStale      time.Duration // longest time until the answer to a queue lookup, 0 for no limit
+	rejections    rejections
 
 	// lastConfiguration is the configuration that was read last. Reads send its version,
 	// so that the leader sends a document, which may be large, only once.
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -34,6 +34,7 @@
 	step        prometheus.Histogram
 	queued      prometheus.Histogram
 	peerCalls   *prometheus.CounterVec
+	rejected    *prometheus.CounterVec
 	queues      map[string]bool // queues that have their own time series
 }
 
@@ -53,9 +54,10 @@
 			Name: namespace + "control_queue_seconds", Help: "Time that an event is queued before the control goroutine handles it.", Buckets: []float64{1e-3, 5e-3, .01, .025, .05, .1, .25, .5, 1, 2.5},
 		}),
 		peerCalls: counter("peer_calls_total", "Calls to other processes, by operation; deliver carries replication messages, relayed orders and their results.", "operation"),
+		rejected:  counter("rejected_messages_total", "Messages from outside that were invalid and had no effect, by kind.", "kind"),
 		queues:    map[string]bool{},
 	}
-	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, m.rejected, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: namespace + "ready", Help: "1 if the process serves callers."}, func() float64 {
 			if ready() {
 				return 1
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -103,6 +103,8 @@
 	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeerAddresses()), peers: x.peers, logger: x.logger, maxStale: s.MaxStale()}
 	x.metrics = newMetrics(func() bool { return x.client.Ready() && !x.draining.Load() })
 	x.client.observeCall = x.metrics.observeCall
+	x.client.rejections.logger = x.logger
+	x.client.rejections.count = func(kind string) { x.metrics.rejected.WithLabelValues(kind).Inc() }
 	x.peers.OnCall = func(operation string) { x.metrics.peerCalls.WithLabelValues(operation).Inc() }
 	x.client.tracker.sendHeartbeat = x.client.sendHeartbeat(s.Name)
 	return x
