--- a/coordination/replication/group.go
+++ b/coordination/replication/group.go
@@ -259,6 +259,9 @@
 	if m.ToIncarnation != g.self.Incarnation && !anyIncarnation {
 		return ErrWrongIncarnation
 	}
+	if !g.isWellFormed(m) {
+		return ErrMalformed
+	}
 	switch m.Type {
 	case MsgJoin:
 		if m.Member == nil || m.Member.Name != m.From || m.Member.Incarnation != m.FromIncarnation {
@@ -267,10 +270,6 @@
 		return nil
 	case MsgJoinResponse:
 		return nil
-	case MsgSnapshot:
-		if m.Snapshot == nil || m.Snapshot.Membership.GroupID != m.GroupID {
-			return ErrMalformed
-		}
 	}
 	if m.GroupID == 0 || m.GroupID != g.groupID() {
 		return ErrWrongGroup
@@ -284,6 +283,9 @@
 		if g.role == leader && g.peer(m.FromIncarnation) == nil {
 			return ErrUnknownSender
 		}
+		if g.role == leader && m.Term == g.term && !m.Reject && max(m.Index, m.Hint) > g.log.last() {
+			return ErrMalformed // it acknowledges entries that this leader does not have
+		}
 	}
 	return nil
 }
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -129,6 +129,9 @@
 	if c.Step < 0 || c.Step >= len(j.Steps) || c.Occurrence < 0 || c.Occurrence >= j.Submission.Occurrences() || !j.StepReady(c.StepRef) {
 		return fmt.Errorf("assign %s: the step is not ready", c.StepRef)
 	}
+	if err := j.CheckLimits(); err != nil {
+		return fmt.Errorf("assign %s: %w", c.StepRef, err) // the record of its tasks would use up the memory
+	}
 	st := &j.Steps[c.Step]
 	if st.Gang && len(c.Items) != st.Count {
 		return fmt.Errorf("assign %s: %d of the %d tasks of a gang", c.StepRef, len(c.Items), st.Count)
--- a/state/job/state_test.go
+++ b/state/job/state_test.go
@@ -291,3 +291,28 @@
 		}
 	}
 }
+
+// Guards against an entry that ends every member at each restart: the record of the tasks of a
+// job beyond the limits, which an earlier version accepted, uses up the memory.
+func TestAssignmentOfJobBeyondTheLimitsIsRejected(t *testing.T) {
+	s := New()
+	s.Apply(1, &Command{Configure: &Configuration{Version: 1, Pools: []Pool{{Name: "p"}}, Queues: []Queue{{Name: "q", Host: "h", Prefix: "/", Pool: "p", TimeoutMS: 1}}}})
+	s.Apply(2, &Command{Submit: &Submit{Queue: "q", Submission: Submission{ID: "j", Steps: []Step{{Count: 1_000_000_000_000}}}}})
+	s.Apply(3, &Command{Join: &Worker{Incarnation: Incarnation{ID: "w", StartedMS: 5}, Address: "w", Pool: "p"}})
+	a := s.Apply(4, &Command{Assign: &Assign{StepRef: StepRef{Job: "j"}, Items: []Assignment{{Worker: "w", StartedMS: 5, Run: 1}}}})
+	if a.Rejected == nil || s.Job("j").Occurrence(0) != nil {
+		t.Errorf("the assignment was applied: %v", a.Rejected)
+	}
+}
+
+// Guards against IDs of jobs that make the names of their tasks unreadable: every worker that
+// runs one would list names that cannot be decoded, and count as unresponsive.
+func TestJobIDsAreLimited(t *testing.T) {
+	step := []Step{{Count: 1}}
+	for id, valid := range map[ID]bool{"5c0e7a21d94b36f8": true, "a-b_C9": true, "": false, "a.b": false, "a/b": false, "a b": false, "a\n": false, "ü": false, ID(make([]byte, 100)): false} {
+		s := Submission{ID: id, Steps: step}
+		if err := s.Validate(); (err == nil) != valid {
+			t.Errorf("ID %q: %v", id, err)
+		}
+	}
+}
