jobs: passes use the tickets that arrive, speeds survive a leader, patient work uses slow workers

A pass tried 16 unplaced steps and 6 more of the rest, so the turn of a step came after its tickets (1.85 s) had expired; its calls for advice were wasted, its queue counted as behind and 90% of its submissions were refused. Change: a pass tries up to 100 unplaced steps in order and 100 round-robin while orders take less than 25 ms, down to the old bounds at 50 ms; steps with a new answer of the advice service are tried out of turn; learned speeds are saved in the replicated records; two runs instead of seven show that a worker is slow; steps whose job meets its objective on slow workers use these first. TestPassIsBounded now checks both ends of the bound. Conclusion: the tickets bound how long a step may wait for its turn.

--- a/coordination/estimate/endpoint.go
+++ b/coordination/estimate/endpoint.go
@@ -10,8 +10,9 @@
 	// towards 1 without new observations. Without the decay, a slow endpoint that gets no
 	// work could never show that it has recovered.
 	speedHalfLife = 10 * time.Minute
-	// speedPrior is the weight of the prior, as a number of observations of speed 1.
-	speedPrior = 4
+	// speedPrior is the weight of the prior, as a number of observations. After two runs on an
+	// endpoint of half the usual speed, work that is in a hurry avoids it.
+	speedPrior = 1.5
 	// maxLogSpeed bounds the logarithm of a speed, so that speeds are from 1/32 to 32.
 	// Beyond that range an endpoint is faulty rather than slow.
 	maxLogSpeed = 5 * math.Ln2
@@ -22,7 +23,8 @@
 // since each run is compared with its own kind, the mix of kinds does not matter.
 type endpointStats struct {
 	ratios window
-	speed  float64       // logarithm of the speed: the median of ratios, shrunk towards 0
+	prior  float64       // logarithm of the speed that is assumed before the first observation
+	speed  float64       // logarithm of the speed: the median of ratios, shrunk towards prior
 	at     time.Duration // monotonic time of the latest observation
 	last   uint64        // Estimator.count at the latest observation
 }
@@ -53,6 +55,22 @@
 	return l * math.Exp2(-float64(e.now-s.at)/float64(speedHalfLife))
 }
 
+// Restore sets the speed that an earlier estimator has learned of an endpoint. now is the
+// monotonic time of the call. A speed that is not positive is ignored.
+func (e *Estimator) Restore(now time.Duration, endpoint string, speed float64) {
+	if speed <= 0 {
+		return
+	}
+	e.now = max(e.now, now)
+	e.DeleteEndpoint(endpoint)
+	if len(e.endpoints) >= MaxEndpoints {
+		e.evictEndpoint()
+	}
+	l := max(-maxLogSpeed, min(maxLogSpeed, math.Log(speed)))
+	e.endpoints[endpoint] = &endpointStats{prior: l, speed: l, at: e.now, last: e.count}
+	e.sumSpeed += l
+}
+
 func (e *Estimator) observeEndpoint(endpoint string, ratio float64) {
 	s := e.endpoints[endpoint]
 	if s == nil {
@@ -65,7 +83,7 @@
 	s.ratios.add(ratio)
 	n := float64(s.ratios.n)
 	e.sumSpeed -= s.speed
-	s.speed = s.ratios.quantile(0.5) * n / (n + speedPrior)
+	s.speed = s.prior + (s.ratios.quantile(0.5)-s.prior)*n/(n+speedPrior)
 	e.sumSpeed += s.speed
 	s.at, s.last = e.now, e.count
 }
--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -55,6 +55,7 @@
 	answerDeadline time.Duration // time at which the call in flight times out
 	agent          string        // peer address of the agent that makes the call
 	nextRequest    time.Duration // earliest time of the next request
+	isNew          bool          // an answer has arrived that no pass has used yet
 }
 
 // verdict is the answer of the advice service about one worker.
@@ -202,28 +203,35 @@
 	return out
 }
 
-// workersToQuery returns workers without a verdict for the step, those with the most room
-// first. need is the number of waiting tasks. The list ends once it has minRequestWorkers
+// workersToQuery returns workers without a verdict for the step: those with room first, of the
+// speed that suits the step, then those with the most room. need is the number of waiting tasks. The list ends once it has minRequestWorkers
 // workers, or cheapRequestWorkers if a call costs little per worker, and their expected room is
 // enough for requestSurplus times need tasks.
 func (l *Leader) workersToQuery(p *schedulingPass, s *step, need int) []string {
 	type option struct {
 		id           string
 		tasksThatFit int // tasks that fit into the free capacity
+		speedRank    int
 		maxRoom      int // tasks that fit into the whole capacity of the worker
 	}
 	var options []option
+	canWait := l.canWait(s)
 	for _, w := range p.usable {
 		v, asked := s.advice.verdicts[w.ID]
 		if asked && v.startedMS == w.StartedMS || !matchesWorker(s, w) {
 			continue
 		}
 		if maxRoom := l.tasksThatFit(w.rec.Capacity, s, w); maxRoom > 0 {
-			options = append(options, option{w.ID, l.tasksThatFit(p.free(w), s, w), maxRoom})
+			options = append(options, option{w.ID, l.tasksThatFit(p.free(w), s, w), speedRank(l.speeds.Speed(w.ID), canWait), maxRoom})
 		}
 	}
 	slices.SortFunc(options, func(a, b option) int {
-		return cmp.Or(cmp.Compare(b.tasksThatFit, a.tasksThatFit), cmp.Compare(a.id, b.id))
+		return cmp.Or(
+			compareBool(a.tasksThatFit == 0, b.tasksThatFit == 0),
+			cmp.Compare(a.speedRank, b.speedRank),
+			cmp.Compare(b.tasksThatFit, a.tasksThatFit),
+			cmp.Compare(a.id, b.id),
+		)
 	})
 	approval := l.approval(s.queue.Name).value()
 	wanted := requestSurplus * float64(need)
@@ -296,6 +304,7 @@
 		s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceInterval
 	}
 	l.storeAdvice(s, &e)
+	s.advice.isNew = true
 	if s.hold != nil {
 		s.hold.until = s.ticketsValidUntil(s.hold.tasks)
 	}
--- a/coordination/jobs/candidate.go
+++ b/coordination/jobs/candidate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/placement"
 	"github.com/primrosereach/primrosereach/state/resource"
@@ -17,7 +18,7 @@
 }
 
 // candidates returns the workers among the given ones that pass a filter and have room for
-// a task of the step, best first: near the data, then not avoided by the step, then fast,
+// a task of the step, best first: near the data, then not avoided by the step, then by speed,
 // then with the least free cores, so that large tasks find room on other workers. For
 // best-effort steps the order is: not avoided by the step, then with the highest pace, then
 // with the most idle cores.
@@ -46,11 +47,12 @@
 		})
 		return out
 	}
+	canWait := l.canWait(s)
 	slices.SortFunc(out, func(a, b candidate) int {
 		return cmp.Or(
 			-compareBool(a.nearData, b.nearData),
 			compareBool(s.avoided[a.w.ID], s.avoided[b.w.ID]),
-			cmp.Compare(placement.TierOf(a.speed), placement.TierOf(b.speed)),
+			cmp.Compare(speedRank(a.speed, canWait), speedRank(b.speed, canWait)),
 			cmp.Compare(p.free(a.w).MilliCores, p.free(b.w).MilliCores),
 			cmp.Compare(a.w.ID, b.w.ID),
 		)
@@ -58,6 +60,39 @@
 	return out
 }
 
+const (
+	// waitFactor and waitMargin define a step that can wait: its job meets its objective even if
+	// the rest of it takes waitFactor times the expected time, and waitMargin more. Slow workers
+	// take about twice as long, and a task may have to run again.
+	waitFactor = 2.5
+	waitMargin = time.Second
+	// tasksAtOnce is the number of tasks of a step for which the expected time counts once more:
+	// the tasks of a wide step run in several rounds.
+	tasksAtOnce = 32
+)
+
+// canWait reports whether the job of a step meets its objective on slow workers as well. Such
+// steps use slow workers first and leave the others to work that is in a hurry: with most
+// workers busy, short jobs otherwise find room on slow workers only, and are late. Gangs are as
+// slow as their slowest member and do not wait.
+func (l *Leader) canWait(s *step) bool {
+	if s.spec.Service || s.spec.Gang {
+		return false
+	}
+	rounds := 1 + float64(s.spec.Count)/tasksAtOnce
+	return l.wallMS+int64(waitFactor*rounds*float64(s.remainingMS))+waitMargin.Milliseconds() <= s.objectiveMS
+}
+
+// speedRank orders speeds: the fastest first or, for a step that can wait, the slowest first.
+// Stragglers are always last.
+func speedRank(speed float64, canWait bool) int {
+	tier := placement.TierOf(speed)
+	if canWait && tier != placement.TierStraggler {
+		return int(placement.TierStraggler) - 1 - int(tier)
+	}
+	return int(tier)
+}
+
 // idleCores returns the thousandths of a core that no task on a worker reserves, less
 // those that its best-effort tasks can use.
 func (l *Leader) idleCores(p *schedulingPass, w *worker) int {
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -128,6 +128,9 @@
 	spec := x.sim.specs[e.Job].Steps[e.Step]
 	r := &fakeRun{number: e.Run, need: spec.Reserved(), acceptedAt: x.sim.now, fails: x.sim.rng.Float64() < x.failShare}
 	r.work = time.Duration(float64(spec.EstimateMS)*(0.5+x.sim.rng.Float64())/x.speed) * time.Millisecond
+	if saved, ok := x.sim.savedWork[e.TaskRef]; ok {
+		r.work = max(0, r.work-saved) + restoreTime
+	}
 	if spec.Gang {
 		r.gang = spec.Count
 		run := gangRun{e.StepRef, e.Run}
@@ -253,6 +256,7 @@
 	r := x.runs[ref]
 	delete(x.runs, ref)
 	x.lastEndedRun[ref] = max(x.lastEndedRun[ref], r.number)
+	x.sim.accountWork(ref, r, kind)
 	if kind == job.EndDone {
 		x.sim.finished[ref] = true
 	}
@@ -260,6 +264,22 @@
 	x.ended = append(x.ended, EndedRun{Number: x.number, RunEnd: job.RunEnd{TaskRef: ref, Run: r.number, Kind: kind}})
 }
 
+// restoreTime is how long a run takes to resume from a checkpoint.
+const restoreTime = 100 * time.Millisecond
+
+// accountWork adds the work of a run that did not end as done to what is saved, if the task
+// reports checkpoints and the simulation resumes from them, or to what is thrown away.
+func (sim *simulation) accountWork(ref job.TaskRef, r *fakeRun, kind job.EndKind) {
+	if kind == job.EndDone || r.workingSince == 0 {
+		return
+	}
+	if sim.savedWork != nil && kind == job.EndStopped && sim.specs[ref.Job].Steps[ref.Step].Checkpointing {
+		sim.savedWork[ref] += sim.now - r.workingSince
+		return
+	}
+	sim.thrownAway += (sim.now - r.workingSince).Seconds() * float64(r.need.MilliCores) / 1000
+}
+
 // advance updates the worker's runs to the current time.
 func (x *fakeWorker) advance() {
 	if x.stopped {
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -77,6 +77,7 @@
 	needsSchedule     bool // a scheduling pass may be able to place tasks
 	roundRobinOffset  int  // index of the step that is tried next, among the waiting steps after the first ones
 	nextSchedule      time.Duration
+	nextSpeeds        time.Duration // earliest time of the next command that saves learned speeds
 	nextPeriodicCheck time.Duration
 }
 
@@ -188,6 +189,7 @@
 func (l *Leader) runPeriodicChecks() {
 	l.needsSchedule = true
 	l.overload.decay()
+	l.saveSpeeds()
 	l.removeInvalidRecords()
 	l.logForeignHeartbeats()
 	l.checkAdvice()
--- a/coordination/jobs/load_test.go
+++ b/coordination/jobs/load_test.go
@@ -21,6 +21,7 @@
 	milliCores    float64 // mean per task
 	memoryMB      float64 // mean per task
 	runMS         float64 // mean of the estimated run time of a task
+	approvalShare float64 // share of the workers that may run a step, where the pattern sets it
 	maxRoomShare  float64 // largest share of the workers whose room a step may need, 0 for no limit
 }
 
--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -56,15 +56,35 @@
 	late           bool // the job cannot be done by its objective
 }
 
-// Bounds of one pass. A step that cannot be placed in full costs a search through many
-// workers, and under overload hundreds of steps wait: trying all of them in each pass would
-// use all of the leader's time. Each pass tries the first steps in order until maxUnplaced
-// were not placed in full, and the rest round-robin until maxUnplacedRoundRobin were not.
+// Bounds of one pass. A step that cannot be placed in full costs a search through many workers,
+// and under overload hundreds of steps wait. Each pass tries the first steps in order until a
+// number of them were not placed in full, then those with new advice, and then the rest
+// round-robin. While the leader's process keeps up, the numbers are large: a step whose turn comes
+// late has lost its tickets by then, and workers stay idle although there is work for them. When
+// orders take long, passes must leave time for the other work of the process.
 const (
-	maxUnplaced           = 16
-	maxUnplacedRoundRobin = 6
+	maxUnplaced           = 100
+	minUnplaced           = 16
+	maxUnplacedRoundRobin = 100
+	minUnplacedRoundRobin = 6
+	// maxUnplacedWithAdvice bounds the steps with new advice that are tried out of turn.
+	maxUnplacedWithAdvice = 32
+	// keepsUpOrderDelay and fullOrderDelay are the average times from the decision to start a
+	// task to the worker's answer at which the bounds begin to fall and reach their minimum.
+	keepsUpOrderDelay = 25 * time.Millisecond
+	fullOrderDelay    = 50 * time.Millisecond
 )
 
+// passLimit returns the bound of a pass between least and most that fits the measured delay of
+// orders.
+func (o *overload) passLimit(least, most int) int {
+	if o.orderDelay <= keepsUpOrderDelay {
+		return most
+	}
+	left := max(0, float64(fullOrderDelay-o.orderDelay)/float64(fullOrderDelay-keepsUpOrderDelay))
+	return least + int(left*float64(most-least))
+}
+
 const (
 	// scheduleTimePerStep is added to scheduleInterval for each waiting step, up to
 	// maxScheduleInterval: a pass over many steps takes longer, and passes must leave time
@@ -94,19 +114,33 @@
 	l.nextSchedule = l.now + min(maxScheduleInterval, scheduleInterval+time.Duration(len(list))*scheduleTimePerStep)
 	p := l.newPass()
 	l.starts.expire(l.now)
-	tried := l.tryPlace(p, list, maxUnplaced)
+	tried := l.tryPlace(p, list, l.overload.passLimit(minUnplaced, maxUnplaced))
 	rest := list[tried:]
 	if len(rest) == 0 {
 		return nil
 	}
+	l.tryPlace(p, withNewAdvice(rest), maxUnplacedWithAdvice)
 	if !l.startsFull() {
 		l.roundRobinOffset %= len(rest)
-		l.roundRobinOffset += l.tryPlace(p, rest[l.roundRobinOffset:], maxUnplacedRoundRobin)
+		l.roundRobinOffset += l.tryPlace(p, rest[l.roundRobinOffset:], l.overload.passLimit(minUnplacedRoundRobin, maxUnplacedRoundRobin))
 	}
 	l.needsSchedule = true // the other steps are tried in the next passes
 	return rest
 }
 
+// withNewAdvice returns the steps for which an answer of the advice service has arrived that no
+// pass has used yet. Tickets expire within two seconds: while hundreds of steps wait, they would
+// expire before it is the step's turn, the call would be wasted, and workers would stay idle.
+func withNewAdvice(list []waitingStep) []waitingStep {
+	var out []waitingStep
+	for i := range list {
+		if list[i].advice.isNew {
+			out = append(out, list[i])
+		}
+	}
+	return out
+}
+
 // tryPlace tries steps in order until limit of them could not be placed in full, or the window
 // of starts is full. It skips steps that await advice, and gangs some of whose tasks are
 // assigned or done or that lacked room within gangRetryInterval. It returns the number of
@@ -122,6 +156,7 @@
 		if s.awaitsAdvice(l.now) {
 			continue
 		}
+		s.advice.isNew = false
 		tasks := s.waiting()
 		switch {
 		case len(tasks) == 0:
--- a/coordination/jobs/place_test.go
+++ b/coordination/jobs/place_test.go
@@ -42,7 +42,7 @@
 
 // Guards against a scheduling pass whose cost grows with the backlog. Under overload such
 // passes used all of the leader's time (scale-1 of the grown claims service, with 1,400
-// queues and hundreds of waiting steps).
+// queues and hundreds of waiting steps). While orders take long, it tries the fewest steps.
 func TestPassIsBounded(t *testing.T) {
 	sim := newBacklogSimulation(t, 400)
 	sim.run(sim.now + time.Second)
@@ -51,11 +51,15 @@
 	if len(list) < 300 {
 		t.Fatalf("%d steps wait", len(list))
 	}
-	for i := range list {
-		list[i].advice.inFlight = false // as if every request was answered
-	}
-	if tried := l.tryPlace(l.newPass(), list, maxUnplaced); tried > maxUnplaced {
-		t.Errorf("a pass tries %d steps, at most %d can fail", tried, maxUnplaced)
+	for delay, want := range map[time.Duration]int{0: maxUnplaced, keepsUpOrderDelay: maxUnplaced, fullOrderDelay: minUnplaced, time.Second: minUnplaced} {
+		for i := range list {
+			list[i].advice.inFlight = false // as if every request was answered
+		}
+		l.overload.orderDelay = delay
+		limit := l.overload.passLimit(minUnplaced, maxUnplaced)
+		if tried := l.tryPlace(l.newPass(), list, limit); limit != want || tried > limit {
+			t.Errorf("at a delay of %v a pass tries %d steps, at most %d can fail and %d should", delay, tried, limit, want)
+		}
 	}
 }
 
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -42,16 +42,19 @@
 	cancelledAt map[job.ID]time.Duration
 	specs       map[job.ID]job.Submission
 
-	lostAnswerShare   float64                  // share of orders that are executed late and not answered, and of observations that are lost
-	approvalShare     float64                  // share of workers that may run a step
-	serviceTail       float64                  // tail latency in milliseconds of a service task without best-effort tasks beside it
-	bestEffortLatency float64                  // milliseconds that a best-effort task at full pace adds to the tail latency of a service task
-	advice            bool                     // starts need tickets
-	advisors          int                      // number of agents; each makes one call for advice at a time, with the queue's durations. 0 for one agent whose calls are short
-	advisorFreeAt     map[string]time.Duration // end of the calls of an agent, by address
-	messageTime       time.Duration            // processor time of the leader's process for each message that it sends or receives; 0 for none
-	processFreeAt     time.Duration            // time at which the process has handled all messages so far
-	incompleteMembers int                      // number of gang members that ended because the gang was incomplete
+	lostAnswerShare   float64                       // share of orders that are executed late and not answered, and of observations that are lost
+	approvalShare     float64                       // share of workers that may run a step
+	approvals         map[string]float64            // approvalShare by the first letter of a job's ID, nil for the same share for all
+	savedWork         map[job.TaskRef]time.Duration // work saved in checkpoints; nil if runs do not resume
+	thrownAway        float64                       // core-seconds of runs that were stopped, broken or lost and not saved
+	serviceTail       float64                       // tail latency in milliseconds of a service task without best-effort tasks beside it
+	bestEffortLatency float64                       // milliseconds that a best-effort task at full pace adds to the tail latency of a service task
+	advice            bool                          // starts need tickets
+	advisors          int                           // number of agents; each makes one call for advice at a time, with the queue's durations. 0 for one agent whose calls are short
+	advisorFreeAt     map[string]time.Duration      // end of the calls of an agent, by address
+	messageTime       time.Duration                 // processor time of the leader's process for each message that it sends or receives; 0 for none
+	processFreeAt     time.Duration                 // time at which the process has handled all messages so far
+	incompleteMembers int                           // number of gang members that ended because the gang was incomplete
 	gangs             map[gangRun][]member
 	relays            []*fakeRelay
 
@@ -434,7 +437,11 @@
 	for _, id := range e.Workers {
 		key := e.Step.String() + id
 		if _, known := h.sim.approved[key]; !known {
-			h.sim.approved[key] = h.sim.rng.Float64() < h.sim.approvalShare
+			share := h.sim.approvalShare
+			if x, ok := h.sim.approvals[string(e.Step.Job[:1])]; ok {
+				share = x
+			}
+			h.sim.approved[key] = h.sim.rng.Float64() < share
 		}
 		if h.sim.approved[key] {
 			out.Approved = append(out.Approved, Ticket{Worker: id, Ticket: key})
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -84,6 +84,7 @@
 	for _, r := range rec.SortedTasks() {
 		w.runs[r] = &run{ref: r, number: rec.Tasks[r], phase: unconfirmed, phaseSince: l.now, assignedAt: l.now, slowdownPercent: unknownPace}
 	}
+	l.speeds.Restore(l.now, w.ID, float64(rec.SpeedPercent)/100)
 	l.workers[w.ID] = w
 	l.sortWorkers()
 	return w
@@ -121,6 +122,7 @@
 		}
 	}
 	if rec := l.state.Worker(c.ID); rec != nil {
+		l.speeds.DeleteEndpoint(c.ID) // the new incarnation may be of another kind
 		w := l.trackWorker(rec)
 		w.leasesExpireAt = l.now
 		l.log("info", "worker joined", "", w.ID, "a worker joined and accepts work", "address", rec.Address, "born_ms", rec.StartedMS, "pool", rec.Pool)
--- a/coordination/replication/log.go
+++ b/coordination/replication/log.go
@@ -111,6 +111,8 @@
 		return len(c.Submit.Spec) + len(c.Submit.Steps)*entryOverhead
 	case c.Assign != nil:
 		return len(c.Assign.Items) * entryOverhead
+	case c.SetSpeeds != nil:
+		return len(c.SetSpeeds.Items) * entryOverhead / 2
 	case c.EndRuns != nil:
 		return len(c.EndRuns.Runs) * entryOverhead
 	case c.Configure != nil:
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -33,6 +33,8 @@
 		return s.endRuns(c.EndRuns)
 	case c.Join != nil:
 		return s.join(c.Join)
+	case c.SetSpeeds != nil:
+		return s.setSpeeds(c.SetSpeeds)
 	case c.Drain != nil:
 		return s.drain(c.Drain)
 	case c.Leave != nil:
--- a/state/job/apply_worker.go
+++ b/state/job/apply_worker.go
@@ -21,11 +21,25 @@
 		delete(s.workers, w.ID)
 	}
 	w := *c
-	w.Reserved, w.AckedEnd, w.Tasks = resource.Amount{}, 0, map[TaskRef]int{}
+	w.Reserved, w.AckedEnd, w.Tasks, w.SpeedPercent = resource.Amount{}, 0, map[TaskRef]int{}, 0
 	s.workers[w.ID] = &w
 	return Applied{Jobs: changed}
 }
 
+// maxSpeedPercent bounds the learned speed of a worker.
+const maxSpeedPercent = 10_000
+
+// setSpeeds records the speeds of the incarnations that are still known.
+func (s *State) setSpeeds(c *SetSpeeds) Applied {
+	for i := range c.Items {
+		x := &c.Items[i]
+		if w := s.workers[x.ID]; w != nil && w.StartedMS == x.StartedMS {
+			w.SpeedPercent = max(0, min(x.Percent, maxSpeedPercent))
+		}
+	}
+	return Applied{}
+}
+
 func (s *State) drain(c *Incarnation) Applied {
 	w := s.workers[c.ID]
 	if w == nil || w.StartedMS != c.StartedMS {
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -9,6 +9,7 @@
 	Assign             *Assign             `json:"assign,omitempty"`
 	EndRuns            *EndRuns            `json:"end,omitempty"`
 	Join               *Worker             `json:"join,omitempty"`
+	SetSpeeds          *SetSpeeds          `json:"set_speeds,omitempty"`
 	Drain              *Incarnation        `json:"drain,omitempty"`
 	Leave              *Leave              `json:"leave,omitempty"`
 	Prune              *Prune              `json:"forget,omitempty"`
@@ -95,3 +96,14 @@
 	Wave int    `json:"wave"`
 	VM   string `json:"vm"`
 }
+
+// SetSpeeds records learned speeds of workers, so that the next leader knows them.
+type SetSpeeds struct {
+	Items []WorkerSpeed `json:"items"`
+}
+
+// WorkerSpeed is the learned speed of one incarnation of a worker.
+type WorkerSpeed struct {
+	Incarnation
+	Percent int `json:"percent"` // speed relative to the mean of all workers
+}
--- a/state/job/worker.go
+++ b/state/job/worker.go
@@ -20,6 +20,8 @@
 	Labels   []string        `json:"labels,omitempty"`
 	Draining bool            `json:"draining,omitempty"` // gets no new tasks
 
+	SpeedPercent int `json:"speed_percent,omitempty"` // learned speed relative to the mean of all workers, 0 if it is not known
+
 	Reserved resource.Amount `json:"reserved"`        // sum over Tasks
 	AckedEnd int64           `json:"noted,omitempty"` // number of the last run end that was committed and is acknowledged to the worker
 	Tasks    map[TaskRef]int `json:"-"`               // run numbers of the tasks that the worker may be running
