storage: a member whose disk was full takes part again when there is room

Cause: any failed write ended the log for good, so a disk that was full for five seconds took its member out of the group until a restart. A start on a full disk waits. Failed syncs, and all other errors, still end the log. Also: the line at the end of a job names its objective.

--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -57,6 +57,7 @@
 	futureOccurrences *queue.Timeline[job.StepRef] // occurrences that are not due yet
 	suspectDomains    map[string]domainSuspicion   // by failure domain
 	queued            map[job.ID]string            // queue of each open job that does not repeat and has no task that is known to have started
+	objectives        map[job.ID]int64             // milliseconds from acceptance to the objective of the last active occurrence, for log lines about open jobs
 	startedJobs       map[job.ID]bool              // open jobs with a task whose start was confirmed
 	finalJobs         []job.ID                     // final jobs, in the order in which they became final for this leader
 	pruneAtMS         map[job.ID]int64             // Unix milliseconds
@@ -87,7 +88,7 @@
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{},
 		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
-		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
+		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
 		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), overload: newOverload(), starts: newStartWindow(), relays: newRelays(),
 		needsSchedule: true, takingOver: true,
 	}
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -132,7 +132,9 @@
 		return
 	}
 	l.host.Emit(Measure{Metric: MetricTotal, Queue: j.Queue, Phase: j.Phase, Value: time.Duration(l.wallMS-j.AcceptedMS) * time.Millisecond})
-	l.log("info", "job final", string(j.ID), "", "the job is "+string(j.Phase), "queue", j.Queue, "after_ms", l.wallMS-j.AcceptedMS, "reason", j.Reason)
+	l.log("info", "job final", string(j.ID), "", "the job is "+string(j.Phase), "queue", j.Queue, "after_ms", l.wallMS-j.AcceptedMS,
+		"objective_ms", l.objectives[j.ID], "reason", j.Reason)
+	delete(l.objectives, j.ID)
 }
 
 // retention returns how long a final job is kept after its end.
@@ -165,6 +167,7 @@
 			runs: map[int]*run{}, pendingAssignments: map[int]string{}, avoided: map[string]bool{}, preempted: map[int]int{},
 		}
 		s.setObjective()
+		l.objectives[j.ID] = s.objectiveMS - j.AcceptedMS
 		if o != nil {
 			l.attachRuns(s, o)
 		}
--- a/state/storage/errors.go
+++ b/state/storage/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
@@ -17,6 +18,9 @@
 	// kernel may have dropped the unsynced pages, so a later successful sync does
 	// not mean that they are durable.
 	ErrFailed = errors.New("log has failed and accepts no more writes")
+	// ErrFull reports that the disk took no more bytes. Nothing of the call counts as
+	// written, and the same call can be made again.
+	ErrFull = errors.New("disk is full")
 	// ErrInvalid reports a call that contradicts the log, for example a gap in the
 	// indexes. Nothing was written and the log stays usable.
 	ErrInvalid = errors.New("invalid argument")
@@ -24,6 +28,25 @@
 	ErrClosed = errors.New("store is closed")
 )
 
+// full is an error that matches ErrFull and its cause.
+type full struct{ cause error }
+
+func (f *full) Error() string   { return ErrFull.Error() + ": " + f.cause.Error() }
+func (f *full) Unwrap() []error { return []error{ErrFull, f.cause} }
+
+// isFull reports whether a file operation failed for lack of space. A failed sync does not count,
+// even for that reason: the kernel may have dropped the pages.
+func isFull(err error) bool {
+	var s *syncError
+	return !errors.As(err, &s) && (errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT))
+}
+
+// syncError is an error of a sync.
+type syncError struct{ cause error }
+
+func (e *syncError) Error() string { return e.cause.Error() }
+func (e *syncError) Unwrap() error { return e.cause }
+
 // CorruptError reports that stored data that was synced is unreadable, inconsistent
 // or missing. An incomplete unsynced write at the end of a log (a torn end) is not
 // corruption.
--- a/state/storage/frame.go
+++ b/state/storage/frame.go
@@ -199,14 +199,14 @@
 		return errors.Wrapf(err, "write %s", temp)
 	}
 	if err := f.Sync(); err != nil {
-		return errors.Wrapf(err, "sync %s", temp)
+		return errors.Wrapf(&syncError{err}, "sync %s", temp)
 	}
 	if err := fs.Rename(temp, file); err != nil {
 		return errors.Wrapf(err, "rename %s to %s", temp, file)
 	}
 	dir := filepath.Dir(file)
 	if err := fs.SyncDir(dir); err != nil {
-		return errors.Wrapf(err, "sync directory %s", dir)
+		return errors.Wrapf(&syncError{err}, "sync directory %s", dir)
 	}
 	return nil
 }
--- a/state/storage/fs.go
+++ b/state/storage/fs.go
@@ -32,6 +32,8 @@
 type File interface {
 	// Write appends p. It returns an error if it appends less than all of p.
 	Write(p []byte) (n int, err error)
+	// Truncate removes all content after the first size bytes. Later writes append there.
+	Truncate(size int64) error
 	// Sync makes everything written so far durable.
 	Sync() error
 	Close() error
--- a/state/storage/log.go
+++ b/state/storage/log.go
@@ -43,7 +43,7 @@
 
 // Log is the write-ahead log and snapshot of one replication group. It is used by
 // one goroutine. After any file operation has failed, every call returns an error
-// that matches ErrFailed.
+// that matches ErrFailed, unless the operation failed because the disk is full.
 type Log struct {
 	fs           FS
 	dir          string
@@ -53,6 +53,7 @@
 	file   File      // last segment, open for appending
 	size   int64     // size of file, in bytes
 	synced int64     // length of the part of file that is durable, in bytes
+	torn   bool      // file may have bytes after size, of a write that the full disk refused
 	segs   []segment // oldest first
 
 	hs        state.HardState
@@ -70,7 +71,8 @@
 //
 // Errors match ErrInvalid if the indexes of entries are not consecutive, leave a gap
 // or lie at or below the snapshot's, or if the hard state has a lower term or another
-// vote in the same term. They match ErrFailed if the write failed.
+// vote in the same term. They match ErrFull if the disk is full, and ErrFailed if the
+// write failed for another reason.
 func (l *Log) Save(hs *state.HardState, truncateFrom uint64, entries []state.Entry) error {
 	if l.failed != nil {
 		return l.failed
@@ -92,14 +94,30 @@
 	if err != nil {
 		return err
 	}
-	if _, err := l.file.Write(b); err != nil {
-		return l.fail(errors.Wrapf(err, "append to %s", l.segmentName(l.last().seq)))
+	if err := l.append(b); err != nil {
+		return err
 	}
 	l.size += int64(len(b))
 	l.apply(&r)
 	return nil
 }
 
+// append writes to the end of the last segment. If the disk is full, the next call removes what
+// was written.
+func (l *Log) append(b []byte) error {
+	if l.torn {
+		if err := l.file.Truncate(l.size); err != nil {
+			return l.fail(errors.Wrapf(err, "truncate %s", l.segmentName(l.last().seq)))
+		}
+		l.torn = false
+	}
+	if _, err := l.file.Write(b); err != nil {
+		l.torn = isFull(err)
+		return l.fail(errors.Wrapf(err, "append to %s", l.segmentName(l.last().seq)))
+	}
+	return nil
+}
+
 // check verifies that a record is consistent with the log.
 func (l *Log) check(r *saveRecord) error {
 	if hs := r.HardState; hs != nil {
@@ -149,10 +167,10 @@
 	if l.size < l.segmentBytes {
 		return nil
 	}
-	if err := l.startSegment(); err != nil {
+	if err := l.startSegment(); err != nil && !isFull(err) {
 		return l.fail(err)
 	}
-	return nil
+	return nil // on a full disk the last segment grows until a new one can be started
 }
 
 // SaveSnapshot makes a snapshot durable, with everything saved so far, and removes
@@ -160,8 +178,8 @@
 // index with the snapshot's term, the entries after it are kept. Otherwise the
 // snapshot replaces the whole log.
 //
-// Errors match ErrInvalid if the snapshot is not above the current one, and
-// ErrFailed if a file operation failed.
+// Errors match ErrInvalid if the snapshot is not above the current one, ErrFull if the
+// disk is full, and ErrFailed if a file operation failed for another reason.
 func (l *Log) SaveSnapshot(s *state.Snapshot) error {
 	if l.failed != nil {
 		return l.failed
@@ -249,7 +267,7 @@
 		return nil
 	}
 	if err := l.file.Sync(); err != nil {
-		return errors.Wrapf(err, "sync %s", l.segmentName(l.last().seq))
+		return errors.Wrapf(&syncError{err}, "sync %s", l.segmentName(l.last().seq))
 	}
 	l.synced = l.size
 	return nil
@@ -282,7 +300,7 @@
 		return err
 	}
 	old := l.file
-	l.file, l.size, l.synced = f, int64(len(content)), int64(len(content))
+	l.file, l.size, l.synced, l.torn = f, int64(len(content)), int64(len(content)), false
 	if old != nil {
 		if err := old.Close(); err != nil {
 			return errors.Wrapf(err, "close %s", l.segmentName(l.last().seq))
@@ -291,7 +309,12 @@
 	return nil
 }
 
+// fail returns the error of a call after a file operation has failed. Unless the disk is full,
+// all later calls fail as well.
 func (l *Log) fail(err error) error {
+	if isFull(err) {
+		return &full{err}
+	}
 	l.failed = &failure{cause: err}
 	return l.failed
 }
--- a/state/storage/storagetest/fs.go
+++ b/state/storage/storagetest/fs.go
@@ -417,6 +417,19 @@
 	return len(p), err
 }
 
+func (h *handle) Truncate(size int64) error {
+	h.fs.mu.Lock()
+	defer h.fs.mu.Unlock()
+	if h.epoch != h.fs.epoch {
+		return ErrStopped
+	}
+	n := h.n
+	n.data = n.data[:min(len(n.data), int(size))]
+	n.disk = n.disk[:min(len(n.disk), int(size))]
+	n.syncFrom = min(n.syncFrom, int(size))
+	return nil
+}
+
 func (h *handle) Sync() error {
 	h.fs.mu.Lock()
 	defer h.fs.mu.Unlock()
--- a/state/storage/store.go
+++ b/state/storage/store.go
@@ -41,7 +41,8 @@
 // exist. Otherwise newIncarnation is ignored.
 //
 // Errors match ErrLocked if another process has the directory open, ErrVersion if
-// it was written in an unknown format, or a *CorruptError. A directory that holds
+// it was written in an unknown format, ErrFull if the disk has no room for a new
+// directory, or a *CorruptError. A directory that holds
 // groups but no FORMAT file is corrupt.
 func Open(fs FS, dir string, newIncarnation uint64) (*Store, error) {
 	s := &Store{fs: fs, dir: dir, segmentBytes: segmentBytes, logs: map[string]*Log{}}
@@ -55,6 +56,9 @@
 	}
 	if err := s.loadIdentity(newIncarnation); err != nil {
 		_ = s.lock.Close() // the first error is reported
+		if isFull(err) {
+			return nil, &full{err}
+		}
 		return nil, err
 	}
 	return s, nil
@@ -154,7 +158,7 @@
 // first of them not "-". Everything in Recovered has been synced when Group returns.
 //
 // Errors match ErrInvalid for a bad name or a group that is open already,
-// ErrVersion, ErrClosed, or a *CorruptError. A group that is not accepted is left
+// ErrVersion, ErrClosed, ErrFull, or a *CorruptError. A group that is not accepted is left
 // unchanged.
 func (s *Store) Group(name string) (*Log, Recovered, error) {
 	if !groupName.MatchString(name) {
@@ -168,6 +172,9 @@
 	}
 	l := &Log{fs: s.fs, dir: filepath.Join(s.dir, groupsName, name), group: name, segmentBytes: s.segmentBytes}
 	r, err := l.open()
+	if isFull(err) {
+		err = &full{err}
+	}
 	if err != nil {
 		return nil, Recovered{}, errors.Wrapf(err, "open group %s", name)
 	}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -45,7 +45,7 @@
 	m.client.local = m.Perform
 	m.client.confirmWorker = m.confirmWorker
 	debug.SetGCPercent(memberGCPercent)
-	store, err := m.openStore()
+	store, err := m.openStore(ctx)
 	if err != nil {
 		return err
 	}
@@ -92,8 +92,25 @@
 // close.
 const handoverDelay = balancerDelay / 4
 
-// openStore reads the data directory and builds the node.
-func (m *member) openStore() (*storage.Store, error) {
+// fullRetry is the delay after which a start that a full disk has prevented is tried again.
+const fullRetry = 500 * time.Millisecond
+
+// openStore reads the data directory and builds the node. While the disk is full it waits: a
+// process that ends is started again and finds the same disk.
+func (m *member) openStore(ctx context.Context) (*storage.Store, error) {
+	for {
+		store, err := m.openData()
+		if !errors.Is(err, storage.ErrFull) {
+			return store, err
+		}
+		m.logger.Error("the start waits for room on the disk", "step", "recover", "error", err.Error())
+		if !sleepContext(ctx, fullRetry) {
+			return nil, err
+		}
+	}
+}
+
+func (m *member) openData() (*storage.Store, error) {
 	s := m.settings
 	if err := os.MkdirAll(s.DataDir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create data directory")
@@ -104,7 +121,7 @@
 	}
 	log, rec, err := store.Group(coordination.JobGroup)
 	if err != nil {
-		return nil, errors.Wrap(err, "recover the job group")
+		return nil, errors.Join(errors.Wrap(err, "recover the job group"), store.Close())
 	}
 	for _, d := range rec.Dropped {
 		m.logger.Warn("dropped the incomplete tail of the log", "step", "recover", "dropped", d.String())
