--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -191,6 +191,7 @@
 	l.needsSchedule = true
 	l.overload.decay()
 	l.saveSpeeds()
+	l.removeAbsentWorkers()
 	l.removeInvalidRecords()
 	l.logForeignHeartbeats()
 	l.checkAdvice()
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -259,6 +259,16 @@
 	}
 }
 
+// removeAbsentWorkers reconciles the workers whose records are due for removal: nothing else
+// reconciles a worker that has no runs and does not answer.
+func (l *Leader) removeAbsentWorkers() {
+	for _, w := range l.byID {
+		if len(w.runs) == 0 && l.now-w.lastContact > removeAfter {
+			l.markForReconcile(w)
+		}
+	}
+}
+
 // proposeLeave replicates the end of all runs of a worker, unless such a command is being
 // committed. The command removes the worker's record as well unless keepWorker is set.
 func (l *Leader) proposeLeave(w *worker, keepWorker bool) {
