jobs: clocks in heartbeats are bounded by answers, renewals avoid workers of failures

Cause: each heartbeat could set a worker's clock a second ahead of the one before it, so many odd ones together still lengthened leases. Change: the bound counts from the last answer; workers that the step avoids are renewed only if the others lack room. Before: TestRenewalPrefersWorkersThatTheStepDoesNotAvoid fails (the avoided worker is renewed first); TestHeartbeatClockIsALowerBound, extended by 100 heartbeats, was written with the change. After: both pass.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -186,27 +186,40 @@
 }
 
 // workersToRenew returns approved workers with room for waiting tasks of the step, until
-// they have room for twice the number of these tasks, need.
+// they have room for twice the number of these tasks, need. Workers that the step avoids come
+// last: a task that has failed on a worker would be started there again if only that worker had a
+// ticket.
 func (l *Leader) workersToRenew(p *schedulingPass, s *step, need int) []string {
-	var out []string
+	var out, avoided []string
 	tasksThatFit := 0
 	for _, w := range p.usable {
-		if !s.approves(w) || !matchesWorker(s, w) || tasksThatFit >= 2*need {
+		if tasksThatFit >= 2*need {
+			return out
+		}
+		if !s.approves(w) || !matchesWorker(s, w) {
 			continue
 		}
 		// Room that is being freed will be available when the answer arrives.
-		if n := l.tasksThatFit(l.freeAfterPendingStops(p, w), s, w); n > 0 {
+		n := l.tasksThatFit(l.freeAfterPendingStops(p, w), s, w)
+		switch {
+		case n == 0:
+		case s.avoided[w.ID]:
+			avoided = append(avoided, w.ID)
+		default:
 			tasksThatFit += n
 			out = append(out, w.ID)
 		}
 	}
+	if tasksThatFit < need {
+		out = append(out, avoided...)
+	}
 	return out
 }
 
 // workersToQuery returns workers without a verdict for the step: those with room first, of the
-// speed that suits the step, then those with the most room. need is the number of waiting tasks. The list ends once it has minRequestWorkers
-// workers, or cheapRequestWorkers if a call costs little per worker, and their expected room is
-// enough for requestSurplus times need tasks.
+// speed that suits the step, then those with the most room. need is the number of waiting tasks.
+// The list ends once it has minRequestWorkers workers, or cheapRequestWorkers if a call costs
+// little per worker, and their expected room is enough for requestSurplus times need tasks.
 func (l *Leader) workersToQuery(p *schedulingPass, s *step, need int) []string {
 	type option struct {
 		id           string
--- a/coordination/jobs/odd_events_test.go
+++ b/coordination/jobs/odd_events_test.go
@@ -92,7 +92,8 @@
 // heartbeat that another process has received was taken for an older reading than it is.
 func TestHeartbeatClockIsALowerBound(t *testing.T) {
 	now := 100 * time.Second
-	w := &worker{clockMS: 50_000, clockAt: now - 2*time.Second}
+	w := &worker{}
+	w.recordAnswer(now-2*time.Second, 50_000)
 	w.recordHeartbeat(now-contactAge, now, 52_000) // received just before now
 	if got := w.clock(now); got > 52_000 {
 		t.Errorf("the clock is taken for %d ms, the worker read 52000 ms at most now", got)
@@ -101,6 +102,12 @@
 	if got := w.clock(now); got > 52_000 {
 		t.Errorf("a clock 8 s ahead of the worker's own answers counts: %d ms", got)
 	}
+	for ahead := int64(0); ahead < 100; ahead++ { // each is a little ahead of the one before
+		w.recordHeartbeat(now, now, 52_000+ahead*900)
+	}
+	if got := w.clock(now); got > 54_000 {
+		t.Errorf("many heartbeats have set the clock to %d ms", got)
+	}
 }
 
 // Guards against work that is assigned to an address at which nobody answers.
--- a/coordination/jobs/place_test.go
+++ b/coordination/jobs/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -97,3 +98,31 @@
 		t.Errorf("a pass makes %.0f allocations while 200 jobs wait and %.0f while 1600 do", few, many)
 	}
 }
+
+// Guards against a task that is started again on the worker on which it has failed, since only that
+// worker had its ticket renewed (a job of carta-sul-prim failed twice on one worker).
+func TestRenewalPrefersWorkersThatTheStepDoesNotAvoid(t *testing.T) {
+	sim := newReadySimulation(t, 6, 6, &job.Advice{PerCallMS: 10, PerWorkerMS: 0.2, ValidMS: 1500})
+	l := sim.leader
+	sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 60_000)}})
+	s := l.steps[job.StepRef{Job: "r"}]
+	for s == nil {
+		sim.run(sim.now + time.Millisecond)
+		s = l.steps[job.StepRef{Job: "r"}]
+	}
+	s.advice.verdicts = map[string]verdict{}
+	for _, w := range l.byID {
+		s.advice.verdicts[w.ID] = verdict{startedMS: w.StartedMS, approved: true}
+	}
+	first := l.byID[0].ID
+	s.avoided[first] = true
+	if got := l.workersToRenew(l.newPass(), s, 1); len(got) == 0 || slices.Contains(got, first) {
+		t.Errorf("renewed %v, the step has failed on %s", got, first)
+	}
+	for _, w := range l.byID[1:] {
+		delete(s.advice.verdicts, w.ID)
+	}
+	if got := l.workersToRenew(l.newPass(), s, 1); !slices.Contains(got, first) {
+		t.Errorf("renewed %v, only %s may run the step", got, first)
+	}
+}
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -50,6 +50,8 @@
 	clockMS         int64         // lower bound of the worker's clock at clockAt in milliseconds, 0 if not known
 	clockAt         time.Duration // leader's time that clockMS belongs to
 	leasesExpireAt  time.Duration // time after which all granted leases have certainly expired
+	answerClockMS   int64         // worker's clock in its last answer in milliseconds, 0 if none
+	answeredAt      time.Duration // time of that answer
 	lastContact     time.Duration // time of the last heartbeat or answer
 	sequence        int64         // sequence number of the last heartbeat
 	misses          int           // consecutive unanswered observations
@@ -159,6 +161,9 @@
 // reports an earlier clock.
 func (w *worker) recordAnswer(now time.Duration, clockMS int64) {
 	w.lastContact = now
+	if clockMS > w.answerClockMS {
+		w.answerClockMS, w.answeredAt = clockMS, now
+	}
 	if clockMS > w.clock(now) {
 		w.clockMS, w.clockAt = clockMS, now
 	}
@@ -175,11 +180,11 @@
 // now, whenever the heartbeat was received.
 func (w *worker) recordHeartbeat(received, now time.Duration, clockMS int64) {
 	w.lastContact = max(w.lastContact, received)
-	if w.clockMS == 0 || clockMS <= w.clock(now) {
+	if w.answerClockMS == 0 || clockMS <= w.clock(now) {
 		return
 	}
-	elapsed := float64((now - w.clockAt + heartbeatClockTolerance).Milliseconds())
-	if latest := w.clockMS + int64(elapsed*(1+clockDrift)); clockMS <= latest {
+	elapsed := float64((now - w.answeredAt + heartbeatClockTolerance).Milliseconds())
+	if latest := w.answerClockMS + int64(elapsed*(1+clockDrift)); clockMS <= latest {
 		w.clockMS, w.clockAt = clockMS, now
 	}
 }
