--- a/transport/site/metrics_test.go
+++ b/transport/site/metrics_test.go
@@ -22,6 +22,7 @@
 	m.step.Observe(0.001)
 	m.queued.Observe(0.001)
 	m.peerCalls.WithLabelValues("deliver").Inc()
+	m.rejected.WithLabelValues("heartbeat").Inc()
 	return m
 }
 
