--- a/coordination/estimate/endpoint.go
+++ b/coordination/estimate/endpoint.go
@@ -10,9 +10,8 @@
 	// towards 1 without new observations. Without the decay, a slow endpoint that gets no
 	// work could never show that it has recovered.
 	speedHalfLife = 10 * time.Minute
-	// speedPrior is the weight of the prior, as a number of observations. After two runs on an
-	// endpoint of half the usual speed, work that is in a hurry avoids it.
-	speedPrior = 1.5
+	// DefaultSpeedPrior is the weight of the prior of a speed, as a number of observations.
+	DefaultSpeedPrior = 4
 	// maxLogSpeed bounds the logarithm of a speed, so that speeds are from 1/32 to 32.
 	// Beyond that range an endpoint is faulty rather than slow.
 	maxLogSpeed = 5 * math.Ln2
@@ -83,7 +82,7 @@
 	s.ratios.add(ratio)
 	n := float64(s.ratios.n)
 	e.sumSpeed -= s.speed
-	s.speed = s.prior + (s.ratios.quantile(0.5)-s.prior)*n/(n+speedPrior)
+	s.speed = s.prior + (s.ratios.quantile(0.5)-s.prior)*n/(n+e.speedPrior)
 	e.sumSpeed += s.speed
 	s.at, s.last = e.now, e.count
 }
--- a/coordination/estimate/estimate.go
+++ b/coordination/estimate/estimate.go
@@ -58,14 +58,22 @@
 type Estimator struct {
 	kinds     map[kindKey]*kindStats
 	endpoints map[string]*endpointStats
-	sumSpeed  float64       // sum of the logarithms of all endpoint speeds
-	now       time.Duration // monotonic time of the latest observation
-	count     uint64        // number of observations; orders kinds and endpoints by their latest one
+
+	speedPrior float64 // weight of the prior of a speed, as a number of observations
+
+	sumSpeed float64       // sum of the logarithms of all endpoint speeds
+	now      time.Duration // monotonic time of the latest observation
+	count    uint64        // number of observations; orders kinds and endpoints by their latest one
 }
 
 // New returns an estimator without observations.
-func New() *Estimator {
-	return &Estimator{kinds: map[kindKey]*kindStats{}, endpoints: map[string]*endpointStats{}}
+func New() *Estimator { return NewWithSpeedPrior(DefaultSpeedPrior) }
+
+// NewWithSpeedPrior returns an estimator without observations, in which the prior of a speed has
+// the given weight, as a number of observations. With a low weight, few runs show that an endpoint
+// is slow, and more endpoints are taken for slow that are not.
+func NewWithSpeedPrior(weight float64) *Estimator {
+	return &Estimator{kinds: map[kindKey]*kindStats{}, endpoints: map[string]*endpointStats{}, speedPrior: weight}
 }
 
 // Observe learns from a completed attempt. now is the monotonic time of the call. An
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -89,7 +89,7 @@
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{},
 		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
 		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
-		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.New(), overload: newOverload(), starts: newStartWindow(), relays: newRelays(),
+		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), relays: newRelays(),
 		needsSchedule: true, takingOver: true,
 	}
 	for _, w := range st.Workers() {
--- a/coordination/jobs/speed.go
+++ b/coordination/jobs/speed.go
@@ -13,6 +13,9 @@
 // the speeds in the replicated records.
 
 const (
+	// speedPrior is the weight of the prior of a worker's speed, as a number of runs. After two
+	// runs on a worker of half the usual speed, work that is in a hurry avoids it.
+	speedPrior = 1.5
 	// saveSpeedsInterval is the minimum time between two commands that save speeds.
 	saveSpeedsInterval = time.Second
 	// savedSpeedFactor is the change of a speed, as a factor, from which it is saved again.
