--- a/coordination/jobs/heartbeat.go
+++ b/coordination/jobs/heartbeat.go
@@ -137,9 +137,9 @@
 const departureTime = 3 * time.Second
 
 // deregisterWorker processes the report that a worker is stopping. The worker gets no new work
-// for departureTime and is polled at once and after that time. Its tasks are not ended, since
-// the report could be a late message of an earlier incarnation. If the worker has stopped, it
-// does not answer the polls, and its tasks end when its lease expires at the latest.
+// for departureTime and is polled at once. Its tasks are not ended, since the report could be a
+// late message of an earlier incarnation. If the worker has stopped, it does not answer the poll,
+// and its tasks end when its lease expires at the latest.
 func (l *Leader) deregisterWorker(e DeregisterWorker) {
 	if w := l.workers[e.ID]; w != nil {
 		w.departsUntil = l.now + departureTime
