storage: wording of a test comment

Cause: 'silent loss' is not a term of the field. Change: the comment of TestEntryThatDoesNotDecodeIsReported.

--- a/state/storage/fuzz_test.go
+++ b/state/storage/fuzz_test.go
@@ -37,7 +37,7 @@
 	})
 }
 
-// Guards against a panic, or a silent loss, at an entry that is intact and does not decode, for
+// Guards against a panic, or an unreported loss, at an entry that is intact and does not decode, for
 // example one of a later version: the start is refused with the file and the offset. The
 // operator removes the data directory, and the member joins the group again.
 func TestEntryThatDoesNotDecodeIsReported(t *testing.T) {
