--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 
 var cases = map[string]func(*Play) int{
 	"route": playRoute, "gang": playGang, "cap": playCap, "wave": playWave,
-	"life": playLife, "answer": playAnswer, "leave": playLeave, "quarantine": playQuarantine,
+	"life": playLife, "answer": playAnswer, "leave": playLeave, "backfill": playBackfill, "deregister": playDeregister, "quarantine": playQuarantine,
 }
 
 func main() {
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -178,6 +178,13 @@
 	}
 	r.f.rec.Printf("runner %s: that it drains is acknowledged", r.ID)
 	time.Sleep(drainTime + 500*time.Millisecond)
+	r.deregister()
+	r.Leave("ended with its runner")
+	r.f.rec.Printf("runner %s ends", r.ID)
+}
+
+// deregister tells the system that the runner takes its leave.
+func (r *Runner) deregister() {
 	client := &http.Client{Timeout: time.Second}
 	for _, address := range r.f.control {
 		req, err := http.NewRequest(http.MethodDelete, "http://"+address+"/instances/"+r.ID, nil)
@@ -194,8 +201,6 @@
 			break
 		}
 	}
-	r.Leave("ended with its runner")
-	r.f.rec.Printf("runner %s ends", r.ID)
 }
 
 func (r *Runner) heartbeat() ([]byte, bool) {
@@ -343,10 +348,10 @@
 func (x *Run) work(s *Step) {
 	x.began = time.Now()
 	switch {
-	case !s.Perpetual:
-		x.after(time.Duration(s.EstimateMS)*time.Millisecond, func() { x.On.finish(x, "done") })
 	case x.Job.FailsAfter > 0:
 		x.after(x.Job.FailsAfter, func() { x.On.finish(x, "failed") })
+	case !s.Perpetual:
+		x.after(time.Duration(s.EstimateMS)*time.Millisecond, func() { x.On.finish(x, "done") })
 	}
 }
 
