jobs: the answer to a repeated maintenance names the worker that it is about

Cause: maintenanceAnswered proposed a Leave for whatever worker was on the VM when the answer arrived. An answer to a repeat proves only that the VM was down at some time after the first request, and nothing recorded which worker was there at that time, in particular not for the next leader. A VM with a request in flight was given new work as well.

Change: the worker on the VM is committed before the first request (RequestMaintenance) and named in each answer. Only that incarnation is marked as replaced; a later one is polled. The VM is cordoned from the request until its maintenance is known to be done. Answers to requests of an earlier term are ignored.

Conclusion: an answer about a VM counts only for the incarnation that was recorded beforehand.

--- a/coordination/jobs/effect.go
+++ b/coordination/jobs/effect.go
@@ -78,11 +78,12 @@
 	}
 
 	// StartMaintenance takes a VM down for maintenance. It is answered with
-	// MaintenanceAnswered.
+	// MaintenanceAnswered. It may repeat a request that was executed before.
 	StartMaintenance struct {
-		VM   string
-		Wave int
-		Term uint64
+		VM     string
+		Wave   int
+		Term   uint64
+		Worker job.Incarnation // worker on the VM when maintenance was first requested
 	}
 )
 
--- /dev/null
+++ b/coordination/jobs/fake_vms_test.go
@@ -0,0 +1,82 @@
+package jobs
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// fakeVMs simulates the platform's VM service. A VM is back as another worker, at the same
+// address, after Bounds.MaintenanceTime.
+type fakeVMs struct {
+	waveOf      map[string]int           // number of the wave of the last maintenance, by VM
+	downUntil   map[string]time.Duration // end of the last maintenance, by VM
+	calls       int                      // requests that were received
+	lostAnswers int                      // number of requests that are executed and not answered from now on
+	answerTime  time.Duration            // time until a request is answered
+	onStart     func(vm string)          // called when the maintenance of a VM begins, may be nil
+}
+
+const vmTimeout = 2 * time.Second // time after which a request counts as unanswered
+
+// maintain executes a request for maintenance, and answers it unless the answer is lost.
+func (v *fakeVMs) maintain(sim *simulation, e StartMaintenance) {
+	v.calls++
+	if v.waveOf == nil {
+		v.waveOf, v.downUntil = map[string]int{}, map[string]time.Duration{}
+	}
+	result, delay := OrderDone, v.answerTime
+	switch {
+	case v.waveOf[e.VM] == e.Wave:
+	case sim.now < v.downUntil[e.VM]:
+		result = OrderBusy
+	default:
+		v.takeDown(sim, e)
+	}
+	if v.lostAnswers > 0 {
+		v.lostAnswers--
+		result, delay = OrderUnanswered, vmTimeout
+	}
+	term := sim.term
+	sim.after(delay, func() {
+		if sim.term == term {
+			sim.handle(MaintenanceAnswered{Start: e, Result: result})
+		}
+	})
+}
+
+func (v *fakeVMs) takeDown(sim *simulation, e StartMaintenance) {
+	v.waveOf[e.VM], v.downUntil[e.VM] = e.Wave, sim.now+sim.bounds().MaintenanceTime
+	for _, x := range sim.sorted() {
+		if x.vm == e.VM && !x.stopped {
+			x.stopped, x.runs = true, map[job.TaskRef]*fakeRun{}
+			sim.after(sim.bounds().MaintenanceTime, func() { x.startIncarnation(fmt.Sprint(x.id, "m")) })
+		}
+	}
+	if v.onStart != nil {
+		v.onStart(e.VM)
+	}
+}
+
+// addVMs gives each worker a VM and a rack of its own, and restarts it there.
+func (sim *simulation) addVMs() {
+	for _, x := range sim.sorted() {
+		x.vm, x.labels = "vm-"+x.id, []string{"rack-" + x.id}
+		x.startIncarnation(x.id + "v")
+	}
+	sim.run(sim.now + 2*time.Second)
+}
+
+// startWave requests maintenance of VMs, at most maxDown at a time, within a duration.
+func (sim *simulation) startWave(number, maxDown int, d time.Duration, vms ...string) {
+	sim.token++
+	sim.handle(StartWave{Token: sim.token, Wave: job.Wave{Number: number, VMs: vms, DurationMS: d.Milliseconds(), MaxDown: maxDown}})
+}
+
+// isWaveCompleted reports whether the leader says that a wave is completed.
+func (sim *simulation) isWaveCompleted(number int) bool {
+	sim.token++
+	sim.handle(ReadWave{Token: sim.token, Number: number})
+	return sim.answers[sim.token].WaveCompleted
+}
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -20,6 +20,7 @@
 	capacity     resource.Amount
 	labels       []string
 	domain       string
+	vm           string
 	incarnations map[job.Incarnation]bool // all that have run at the address
 	sequence     int64
 	highestTerm  uint64 // highest fencing token that it has seen
@@ -69,7 +70,7 @@
 }
 
 func (x *fakeWorker) record() job.Worker {
-	return job.Worker{Incarnation: job.Incarnation{ID: x.id, StartedMS: x.startedMS}, Address: x.address, Pool: "p", Domain: x.domain, Capacity: x.capacity, Labels: x.labels}
+	return job.Worker{Incarnation: job.Incarnation{ID: x.id, StartedMS: x.startedMS}, Address: x.address, Pool: "p", Domain: x.domain, VM: x.vm, Capacity: x.capacity, Labels: x.labels}
 }
 
 // clock returns the worker's clock in milliseconds. It is never 0, which means "not
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -15,18 +15,20 @@
 // next incarnation lists its ends: a task may be done before the stop takes effect, and the end
 // counts once it is acknowledged.
 
-// markReplaced records that another incarnation answers at a worker's address, and stops
-// the runs whose start that incarnation may execute.
-func (l *Leader) markReplaced(w *worker) {
+const reasonOtherIncarnation = "another incarnation answers at its address"
+
+// markReplaced records that a worker has certainly ended, and why that is known. It stops the runs
+// whose start the next incarnation may execute.
+func (l *Leader) markReplaced(w *worker, reason string) {
 	if !w.replaced {
-		l.log("info", "worker gone", "", w.ID, "another incarnation answers at its address", "runs", len(w.runs))
+		l.log("info", "worker gone", "", w.ID, reason, "runs", len(w.runs))
 	}
 	w.replaced = true
 	for _, r := range w.sortedRuns() {
 		if r.stopConfirmedByNextAt > 0 || !r.startMayBeInFlight() {
 			continue
 		}
-		l.stopRun(w, r, "another incarnation answers at the worker's address")
+		l.stopRun(w, r, "the worker has ended: "+reason)
 		r.stopped = false // the stop was confirmed by the previous incarnation only
 	}
 	l.markForReconcile(w)
@@ -134,7 +136,7 @@
 		return true
 	}
 	if at, known := l.lateStartsEndAt(w); !known || l.now < at || at > 0 && w.nextListedAt < at || w.committingEnds || w.pendingTasks > 0 {
-		l.markReplaced(w)
+		l.markReplaced(w, "another incarnation wants to join")
 		return false
 	}
 	return true
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -67,7 +67,7 @@
 		l.reconcileRuns(w, &e)
 		l.needsSchedule = true
 	case OrderWrongIncarnation:
-		l.markReplaced(w)
+		l.markReplaced(w, reasonOtherIncarnation)
 	case OrderLost:
 		w.observeAtOnce = true
 	case OrderNotSent:
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -128,7 +128,7 @@
 		l.overload.startMeasured(l.now, e.Start.SentAt)
 	}
 	if w != nil && e.Result == OrderWrongIncarnation {
-		l.markReplaced(w)
+		l.markReplaced(w, reasonOtherIncarnation)
 		return
 	}
 	if r == nil {
@@ -213,7 +213,7 @@
 			r.stopConfirmedByNextAt = l.now
 			w.leasesExpireAt = max(w.leasesExpireAt, l.nextLeaseEnd())
 		}
-		l.markReplaced(w)
+		l.markReplaced(w, reasonOtherIncarnation)
 	default:
 		r.nextAttempt = l.now + orderRetry
 		if e.Result == OrderUnanswered && r.tries >= maxOrderTries {
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -57,6 +57,7 @@
 	incompleteMembers int                           // number of gang members that ended because the gang was incomplete
 	gangs             map[gangRun][]member
 	relays            []*fakeRelay
+	vms               fakeVMs
 
 	// stateCheckInterval is the number of commands after which the invariants of the state are
 	// checked, 0 for 1. The check takes time in proportion to the number of jobs.
@@ -417,6 +418,8 @@
 		}, PaceAnswered{Pace: e, Result: OrderUnanswered})
 	case Observe:
 		sim.observe(e)
+	case StartMaintenance:
+		sim.vms.maintain(sim, e)
 	}
 }
 
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/state/job"
@@ -81,10 +82,16 @@
 	busy := 0
 	var open []string
 	for _, vm := range wave.VMs {
+		done := slices.Contains(wave.Done, vm)
+		if !done && wave.Request(vm) != nil {
+			// The platform may execute a request without an answer, or repeat its answer to one
+			// that it has executed, while a new worker is on the VM.
+			l.waves.cordoned[vm] = true
+		}
 		switch {
 		case l.isDown(vm):
 			busy++
-		case !contains(wave.Done, vm):
+		case !done:
 			open = append(open, vm)
 		}
 	}
@@ -107,10 +114,31 @@
 		busy++
 		l.waves.cordoned[vm] = true
 		if l.mayStartMaintenance(w, slack) && l.now >= l.waves.nextAttempt[vm] {
-			l.waves.inFlight[vm] = wave.Number
-			l.waves.downSince[vm] = l.now
-			l.host.Emit(StartMaintenance{VM: vm, Wave: wave.Number, Term: l.term})
+			l.requestMaintenance(wave, w)
+		}
+	}
+}
+
+// requestMaintenance asks the platform to take down the VM of a worker. Which worker is on the VM
+// is committed before the first request: the answer to a repeated request does not say when the
+// VM was taken down, and another worker may run there by then.
+func (l *Leader) requestMaintenance(wave *job.Wave, w *worker) {
+	vm := w.rec.VM
+	if r := wave.Request(vm); r != nil {
+		l.waves.inFlight[vm] = wave.Number
+		l.waves.downSince[vm] = l.now
+		l.host.Emit(StartMaintenance{VM: vm, Wave: wave.Number, Term: l.term, Worker: r.Worker})
+		return
+	}
+	l.waves.inFlight[vm] = wave.Number
+	ok := l.propose(&job.Command{RequestMaintenance: &job.MaintenanceRequest{Wave: wave.Number, VM: vm, Worker: w.Incarnation}}, func(_ job.Applied, committed bool) {
+		delete(l.waves.inFlight, vm)
+		if committed {
+			l.advanceWaves() // the VM is taken down if that is still allowed
 		}
+	})
+	if !ok {
+		delete(l.waves.inFlight, vm)
 	}
 }
 
@@ -168,17 +196,22 @@
 	return unavailableTasks+tasksOnWorker <= s.spec.Disruptions
 }
 
-// workerOf returns the worker on a VM, or nil.
+// workerOf returns the worker on a VM, or nil. Of several incarnations it returns the last one:
+// the others have ended, but their leases have not expired yet.
 func (l *Leader) workerOf(vm string) *worker {
+	var last *worker
 	for _, w := range l.byID {
-		if w.rec.VM == vm {
-			return w
+		if w.rec.VM == vm && (last == nil || w.StartedMS > last.StartedMS) {
+			last = w
 		}
 	}
-	return nil
+	return last
 }
 
 func (l *Leader) maintenanceAnswered(e MaintenanceAnswered) {
+	if e.Start.Term != l.term {
+		return // this process sent the request in an earlier term and does not track it
+	}
 	vm := e.Start.VM
 	delete(l.waves.inFlight, vm)
 	if e.Result != OrderDone {
@@ -192,16 +225,19 @@
 	l.waves.downSince[vm] = l.now
 	l.log("info", "maintenance", "", vm, "the VM is down for maintenance", "wave", e.Start.Wave)
 	l.propose(&job.Command{MaintenanceStarted: &job.MaintenanceStarted{Wave: e.Start.Wave, VM: vm}}, nil)
-	if w := l.workerOf(vm); w != nil {
-		l.proposeLeave(w, false)
-	}
+	l.vmWasDown(vm, e.Start.Worker)
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
+// vmWasDown handles the proof that a VM was taken down at some time after maintenance was first
+// requested. The worker that was on it then has ended. A later worker may have started before or
+// after that time, so it is polled at once.
+func (l *Leader) vmWasDown(vm string, ended job.Incarnation) {
+	if w := l.workers[ended.ID]; w != nil && w.Incarnation == ended {
+		l.markReplaced(w, "its VM was taken down for maintenance")
+		return
+	}
+	if w := l.workerOf(vm); w != nil {
+		w.observeAtOnce, w.observeAt = true, l.now
+		l.markForReconcile(w)
 	}
-	return false
 }
--- /dev/null
+++ b/coordination/jobs/wave_test.go
@@ -0,0 +1,77 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// submitNearData submits a job with one task whose data is in a rack.
+func (sim *simulation) submitNearData(id job.ID, rack string) {
+	s := tasks(1, 2, 2500)
+	s.DataRack = rack
+	sim.submit("/u/", job.Submission{ID: id, Steps: []job.Step{s}})
+}
+
+// submitNearDataUntil submits such a job every 100 ms until a time.
+func (sim *simulation) submitNearDataUntil(prefix, rack string, until time.Duration) {
+	for i := 0; sim.now < until && !sim.t.Failed(); i++ {
+		sim.submitNearData(job.ID(fmt.Sprint(prefix, i)), rack)
+		sim.run(sim.now + 100*time.Millisecond)
+	}
+}
+
+// Guards against tasks that run twice at a time: a request for maintenance is executed and its
+// answer is lost; when the platform answers the repeated request, another worker is on the VM.
+func TestRepeatedMaintenanceKeepsRunsOfNextWorker(t *testing.T) {
+	sim := newReadySimulation(t, 31, 4, nil)
+	sim.addVMs()
+	sim.vms.lostAnswers, sim.vms.answerTime = 1, 700*time.Millisecond
+	sim.startWave(1, 1, 20*time.Second, "vm-w0")
+	sim.submitNearDataUntil("d", "rack-w0v", sim.now+12*time.Second)
+	sim.run(sim.now + 15*time.Second)
+	if !sim.isWaveCompleted(1) || sim.vms.calls != 2 {
+		t.Errorf("wave completed: %v, %d requests", sim.isWaveCompleted(1), sim.vms.calls)
+	}
+	for id := range sim.specs {
+		if p := sim.phase(id); p != job.Completed {
+			t.Errorf("job %s is %q", id, p)
+		}
+	}
+}
+
+// Guards against the same when the repeated request is sent by the next leader, which did not send
+// the first one.
+func TestMaintenanceRepeatedByNextLeaderKeepsRunsOfNextWorker(t *testing.T) {
+	sim := newReadySimulation(t, 32, 4, nil)
+	sim.addVMs()
+	sim.vms.lostAnswers, sim.vms.answerTime = 1, 700*time.Millisecond
+	sim.vms.onStart = func(string) {
+		sim.after(time.Millisecond, func() {
+			sim.endTerm()
+			sim.after(2500*time.Millisecond, sim.elect) // the next worker is on the VM by then
+		})
+	}
+	sim.startWave(1, 1, 20*time.Second, "vm-w0")
+	sim.submitNearDataUntil("d", "rack-w0v", sim.now+12*time.Second)
+	sim.run(sim.now + 15*time.Second)
+	if !sim.isWaveCompleted(1) || sim.vms.calls != 2 {
+		t.Errorf("wave completed: %v, %d requests", sim.isWaveCompleted(1), sim.vms.calls)
+	}
+}
+
+// Guards against a task whose run is not ended although its VM was certainly taken down: the task
+// would wait until the lease of the worker expires.
+func TestMaintenanceEndsRunsOfItsWorker(t *testing.T) {
+	sim := newReadySimulation(t, 33, 4, nil)
+	sim.addVMs()
+	sim.submitNearData("long", "rack-w0v")
+	sim.run(sim.now + 500*time.Millisecond)
+	sim.startWave(1, 1, time.Second, "vm-w0") // no time is left to wait for the task
+	sim.run(sim.now + time.Second)
+	if run := sim.highestStart[job.TaskRef{StepRef: job.StepRef{Job: "long"}}]; run != 2 {
+		t.Errorf("the task was started %d times within a second", run)
+	}
+}
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -43,6 +43,8 @@
 		return s.prune(c.Prune)
 	case c.Wave != nil:
 		return s.wave(c.Wave)
+	case c.RequestMaintenance != nil:
+		return s.requestMaintenance(c.RequestMaintenance)
 	case c.MaintenanceStarted != nil:
 		return s.maintenanceStarted(c.MaintenanceStarted)
 	}
@@ -308,11 +310,22 @@
 		return rejected("wave %d was accepted before", c.Number)
 	}
 	w := *c
-	w.Done = nil
+	w.Done, w.Requests = nil, nil
 	s.waves[c.Number] = &w
 	return Applied{}
 }
 
+// requestMaintenance stores the first request for maintenance of a VM. Later requests to the
+// platform repeat it.
+func (s *State) requestMaintenance(c *MaintenanceRequest) Applied {
+	w := s.waves[c.Wave]
+	if w == nil || w.Request(c.VM) != nil || !slices.Contains(w.VMs, c.VM) {
+		return rejected("wave %d does not contain VM %s, or its maintenance was requested before", c.Wave, c.VM)
+	}
+	w.Requests = append(w.Requests, *c)
+	return Applied{}
+}
+
 func (s *State) maintenanceStarted(c *MaintenanceStarted) Applied {
 	w := s.waves[c.Wave]
 	if w == nil || slices.Contains(w.Done, c.VM) || !slices.Contains(w.VMs, c.VM) {
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -14,6 +14,7 @@
 	Leave              *Leave              `json:"leave,omitempty"`
 	Prune              *Prune              `json:"forget,omitempty"`
 	Wave               *Wave               `json:"wave,omitempty"`
+	RequestMaintenance *MaintenanceRequest `json:"request_maintenance,omitempty"`
 	MaintenanceStarted *MaintenanceStarted `json:"serviced,omitempty"`
 }
 
--- a/state/job/state.go
+++ b/state/job/state.go
@@ -115,9 +115,7 @@
 		out.Workers = append(out.Workers, &c)
 	}
 	for _, w := range s.Waves() {
-		c := *w
-		c.Done = slices.Clone(w.Done)
-		out.Waves = append(out.Waves, &c)
+		out.Waves = append(out.Waves, w.clone())
 	}
 	return out
 }
@@ -157,9 +155,7 @@
 		})
 	}
 	for _, w := range snap.Waves {
-		c := *w
-		c.Done = slices.Clone(w.Done)
-		s.waves[w.Number] = &c
+		s.waves[w.Number] = w.clone()
 	}
 	return s
 }
--- a/state/job/worker.go
+++ b/state/job/worker.go
@@ -1,6 +1,10 @@
 package job
 
-import "github.com/primrosereach/primrosereach/state/resource"
+import (
+	"slices"
+
+	"github.com/primrosereach/primrosereach/state/resource"
+)
 
 // Incarnation identifies one incarnation of a worker. A worker may keep its ID when it
 // restarts; the start time distinguishes the incarnations.
@@ -51,7 +55,36 @@
 	MaxDown    int      `json:"cap"`            // largest number of VMs that may be down at the same time
 	AcceptedMS int64    `json:"accepted_ms"`    // Unix milliseconds
 	Done       []string `json:"done,omitempty"` // VMs whose maintenance has started, and VMs skipped because they have no worker
+
+	// Requests holds the VMs whose maintenance a leader was about to request, including those in
+	// Done.
+	Requests []MaintenanceRequest `json:"requests,omitempty"`
+}
+
+// MaintenanceRequest is the decision to take down a VM for a wave. It is committed before the
+// first request is sent to the platform.
+type MaintenanceRequest struct {
+	Wave   int         `json:"wave"`
+	VM     string      `json:"vm"`
+	Worker Incarnation `json:"worker"` // worker on the VM at that time
 }
 
 // Completed reports whether Done contains every VM.
 func (w *Wave) Completed() bool { return len(w.Done) >= len(w.VMs) }
+
+// Request returns the request for maintenance of a VM, or nil.
+func (w *Wave) Request(vm string) *MaintenanceRequest {
+	for i := range w.Requests {
+		if w.Requests[i].VM == vm {
+			return &w.Requests[i]
+		}
+	}
+	return nil
+}
+
+func (w *Wave) clone() *Wave {
+	c := *w
+	c.Done = slices.Clone(w.Done)
+	c.Requests = slices.Clone(w.Requests)
+	return &c
+}
