jobs: a gang uses one attempt for each failed run

Cause: taskFailed adds a failure to every member of the gang for each failed end, so members that fail in the same run each use up an attempt.

Change: the leader records one failed end for each failed run of a gang and the others as broken. It knows the failures counted so far from the same report, from ends that are being committed and from Task.FailedRun in the state. How a command is applied is unchanged, so members of the earlier version come to the same phase from the same log, and old logs read as before.

The random histories, which now end several members as failed and check the cause of each failed job, pass.

Conclusion: a count of attempts must not depend on how many messages report one event.

--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/estimate"
@@ -83,7 +84,8 @@
 	for i := range ends {
 		l.recordOutcome(w, &ends[i])
 	}
-	cmd := &job.Command{EndRuns: &job.EndRuns{Incarnation: w.Incarnation, AtMS: l.wallMS, Runs: ends, AckedEnd: ackedEnd}}
+	runs := l.countGangFailuresOnce(w, ends)
+	cmd := &job.Command{EndRuns: &job.EndRuns{Incarnation: w.Incarnation, AtMS: l.wallMS, Runs: runs, AckedEnd: ackedEnd}}
 	w.committingEnds = l.propose(cmd, func(_ job.Applied, committed bool) {
 		w.committingEnds = false
 		if committed {
@@ -96,7 +98,41 @@
 	})
 	if !w.committingEnds {
 		w.observeAt = l.now + observeRetry
+		return
+	}
+	for i := range runs {
+		if s := l.steps[runs[i].StepRef]; s != nil && s.spec.Gang && runs[i].Kind == job.EndFailed && w.isAssigned(&runs[i]) {
+			s.failedRun = max(s.failedRun, runs[i].Run)
+		}
+	}
+}
+
+// isAssigned reports whether an end is that of a run that is assigned to the worker. Other ends
+// change nothing when they are applied.
+func (w *worker) isAssigned(e *job.RunEnd) bool {
+	r := w.runs[e.TaskRef]
+	return r != nil && r.number == e.Run
+}
+
+// countGangFailuresOnce returns the ends to record. A gang has one attempt for each run, however
+// many of its members fail and report that: one failed end of a run is recorded as such, and the
+// others as broken.
+func (l *Leader) countGangFailuresOnce(w *worker, ends []job.RunEnd) []job.RunEnd {
+	out := slices.Clone(ends)
+	counted := map[job.StepRef]int{} // by gang, run of a failed end in out
+	for i := range out {
+		e := &out[i]
+		s := l.steps[e.StepRef]
+		if e.Kind != job.EndFailed || s == nil || !s.spec.Gang || !w.isAssigned(e) {
+			continue
+		}
+		if e.Run <= max(counted[e.StepRef], s.failedRun, s.task(e.Index).FailedRun) {
+			e.Kind = job.EndGangBroken
+			continue
+		}
+		counted[e.StepRef] = e.Run
 	}
+	return out
 }
 
 // runEnded deletes a run whose end was committed.
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -258,13 +258,47 @@
 	delete(x.runs, ref)
 	x.lastEndedRun[ref] = max(x.lastEndedRun[ref], r.number)
 	x.sim.accountWork(ref, r, kind)
-	if kind == job.EndDone {
+	switch kind {
+	case job.EndDone:
 		x.sim.finished[ref] = true
+	case job.EndFailed:
+		x.sim.recordFailure(ref, r.number)
 	}
 	x.number++
 	x.ended = append(x.ended, EndedRun{Number: x.number, RunEnd: job.RunEnd{TaskRef: ref, Run: r.number, Kind: kind}})
 }
 
+// recordFailure records that a run of a task has failed. A gang has one entry for each run.
+func (sim *simulation) recordFailure(ref job.TaskRef, run int) {
+	if sim.specs[ref.Job].Steps[ref.Step].Gang {
+		ref.Index = 0
+	}
+	if sim.failedRuns[ref] == nil {
+		sim.failedRuns[ref] = map[int]bool{}
+	}
+	sim.failedRuns[ref][run] = true
+}
+
+// checkFailedJobs fails the test if a job is shown as failed although none of its tasks or gangs
+// has used all attempts.
+func (sim *simulation) checkFailedJobs() {
+	for id := range sim.specs {
+		j := sim.state.Job(id)
+		if j == nil || j.Phase != job.Failed {
+			continue
+		}
+		most := 0
+		for ref, runs := range sim.failedRuns {
+			if ref.Job == id {
+				most = max(most, len(runs))
+			}
+		}
+		if n := sim.state.QueueOf(j).MaxAttempts; most < n {
+			sim.errorf("job %s is shown as failed after %d of %d attempts", id, most, n)
+		}
+	}
+}
+
 // restoreTime is how long a run takes to resume from a checkpoint.
 const restoreTime = 100 * time.Millisecond
 
@@ -336,7 +370,7 @@
 	}
 	for _, m := range x.sim.gang(ref, r.number) {
 		switch {
-		case kind == job.EndDone || m.ref == ref:
+		case kind == job.EndDone || m.x.runs[m.ref].fails:
 			m.x.end(m.ref, kind)
 		default:
 			m.x.end(m.ref, job.EndGangBroken)
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -212,6 +212,7 @@
 	}
 	sim.healFaults()
 	sim.run(sim.now + 60*time.Second)
+	sim.checkFailedJobs()
 	for id := range sim.specs {
 		j := sim.state.Job(id)
 		if j == nil || j.Phase.Final() || t.Failed() {
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -38,7 +38,8 @@
 	ackedFailures map[job.TaskRef]int  // number of ends as failed that were acknowledged
 	highestStart  map[job.TaskRef]int  // highest number of a run that has started
 
-	finished    map[job.TaskRef]bool // ended as done, acknowledged or not
+	finished    map[job.TaskRef]bool         // ended as done, acknowledged or not
+	failedRuns  map[job.TaskRef]map[int]bool // runs that have failed; those of a gang are recorded for its first task
 	cancelledAt map[job.ID]time.Duration
 	specs       map[job.ID]job.Submission
 
@@ -104,7 +105,7 @@
 func newSimulation(t testing.TB, seed uint64) *simulation {
 	sim := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: job.New(), workers: map[string]*fakeWorker{},
-		approved: map[string]bool{}, answers: map[Token]Answer{}, drainReports: map[Token]*fakeWorker{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, ackedFailures: map[job.TaskRef]int{}, highestStart: map[job.TaskRef]int{},
+		approved: map[string]bool{}, answers: map[Token]Answer{}, drainReports: map[Token]*fakeWorker{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, failedRuns: map[job.TaskRef]map[int]bool{}, ackedFailures: map[job.TaskRef]int{}, highestStart: map[job.TaskRef]int{},
 		advisorFreeAt: map[string]time.Duration{}, cancelledAt: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, approvalShare: 0.8,
 	}
 	sim.elect()
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -23,6 +23,7 @@
 	readyAt            time.Duration // time at which the step became ready
 	triedAt            time.Duration // time at which a pass last tried to place tasks of the step, or at which it became ready
 
+	failedRun int           // last run of a gang for which a failed end is committed or being committed in this term, 0 for none
 	preempted map[int]int   // number of preemptions by task index
 	hold      *hold         // capacity held for a gang, nil for none
 	nextTry   time.Duration // earliest time at which a gang that lacked room is tried again
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -277,7 +277,9 @@
 
 // taskFailed counts a failed attempt of a task, and fails the job if the task has used
 // all attempts of its queue. In a gang the attempt counts for every member with the same
-// run number, because the members share their attempts.
+// run number, because the members share their attempts. Each end counts: a leader records one
+// failed end for each failed run of a gang. Members of the group that run different versions must
+// come to the same state from the same commands, so the rule is the leader's and not applied here.
 func (s *State) taskFailed(j *Job, r TaskRef, atMS int64) {
 	tasks := j.Occurrences[r.Occurrence].Steps[r.Step]
 	if j.Steps[r.Step].Gang {
@@ -285,10 +287,12 @@
 		for i := range tasks {
 			if i == r.Index || tasks[i].Run == run {
 				tasks[i].Failures++
+				tasks[i].FailedRun = run
 			}
 		}
 	} else {
 		tasks[r.Index].Failures++
+		tasks[r.Index].FailedRun = tasks[r.Index].Run
 	}
 	if n := s.QueueOf(j).MaxAttempts; n > 0 && tasks[r.Index].Failures >= n && !j.Phase.Final() {
 		s.finish(j, Failed, atMS, fmt.Sprintf("task %s failed %d times", r, tasks[r.Index].Failures))
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -57,7 +57,7 @@
 	EndFailed         EndKind = "failed"
 	EndStopped        EndKind = "stopped"
 	EndLeaseExpired   EndKind = "lapsed" // the worker's lease expired
-	EndGangBroken     EndKind = "broken" // another member of the gang ended
+	EndGangBroken     EndKind = "broken" // another member of the gang ended, or its failure was counted before
 	EndGangIncomplete EndKind = "alone"  // the other members of the gang did not start in time
 	EndNotStarted     EndKind = "not_started"
 )
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -121,6 +121,10 @@
 	Failures   int        `json:"failures,omitempty"`   // number of runs that failed
 	Worker     string     `json:"worker,omitempty"`     // ID of the worker whose capacity it reserves, empty if none
 	Checkpoint string     `json:"checkpoint,omitempty"` // checkpoint from which the next run starts
+
+	// FailedRun is the number of the last run whose failure was counted, 0 if none or not known.
+	// No command depends on it. It tells a leader which failures of a gang were counted.
+	FailedRun int `json:"failed_run,omitempty"`
 }
 
 // Occurrence is one run of a job's steps.
--- a/state/job/state_test.go
+++ b/state/job/state_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"regexp"
 	"testing"
 
 	"github.com/primrosereach/primrosereach/state/resource"
@@ -316,3 +317,36 @@
 		}
 	}
 }
+
+// Guards against members of two versions that come to different states from the same log, and
+// against a restart that reads an old log differently: commands of the earlier version count each
+// failed end of a gang, and its snapshots do not say which runs were counted.
+func TestEndsOfEarlierVersionCountAsBefore(t *testing.T) {
+	s := configured(t, 2)
+	submit(t, s, "g", Step{Count: 2, PerTask: resource.Amount{MilliCores: 1000}, Gang: true})
+	if err := assign(t, s, "g", 0, on("w0", 0, 1), on("w1", 1, 1)); err != nil {
+		t.Fatal(err)
+	}
+	entry := func(worker string, i int) {
+		var c Command
+		text := fmt.Sprintf(`{"end":{"id":%q,"born_ms":1,"at_ms":5,"runs":[{"job":"g","index":%d,"run":1,"kind":"failed"}],"noted":1}}`, worker, i)
+		if err := json.Unmarshal([]byte(text), &c); err != nil {
+			t.Fatal(err)
+		}
+		apply(t, s, &c)
+	}
+	entry("w0", 0)
+	snap, err := json.Marshal(s.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := new(Snapshot)
+	if err := json.Unmarshal(regexp.MustCompile(`,"failed_run":\d+`).ReplaceAll(snap, nil), old); err != nil {
+		t.Fatal(err)
+	}
+	s = Restore(old)
+	entry("w1", 1)
+	if p := s.Job("g").Phase; p != Failed {
+		t.Errorf("the job is %s, the earlier version shows it as failed", p)
+	}
+}
