jobs: advice counts for the incarnation that was asked about

The verdicts of the advice service were stored for the incarnation of a worker that was present when the answer arrived, so a ticket of the earlier one was used for the next, which rejects it. An answer to a call that had timed out, or of an earlier term of the process, also ended the wait for the call under way.

Change: a request names incarnations, its term and an ID. Verdicts are stored for the incarnation named; only the answer to the last call ends the wait; answers of earlier terms are dropped.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
 )
 
 const (
@@ -52,6 +54,7 @@
 type advice struct {
 	verdicts       map[string]verdict // by worker ID
 	inFlight       bool
+	requestID      uint64        // ID of the last call
 	answerDeadline time.Duration // time at which the call in flight times out
 	agent          string        // peer address of the agent that makes the call
 	nextRequest    time.Duration // earliest time of the next request
@@ -291,29 +294,43 @@
 	agent.busyUntil = max(agent.busyUntil, l.now) + cost
 	timeout := agent.busyUntil - l.now + adviceTimeoutMargin
 	s.advice.inFlight, s.advice.answerDeadline, s.advice.agent = true, l.now+timeout, agent.address
-	l.host.Emit(RequestAdvice{Agent: agent.address, Step: s.ref, Workers: workers, Timeout: timeout})
+	named := make([]job.Incarnation, 0, len(workers))
+	for _, id := range workers {
+		named = append(named, l.workers[id].Incarnation)
+	}
+	l.lastAdviceID++
+	s.advice.requestID = l.lastAdviceID
+	l.host.Emit(RequestAdvice{Term: l.term, ID: l.lastAdviceID, Agent: agent.address, Step: s.ref, Workers: named, Timeout: timeout})
 	return true
 }
 
+// awaits reports whether a call for advice is the one that the step waits for. Earlier calls have
+// timed out.
+func (s *step) awaits(e *RequestAdvice) bool {
+	return s.advice.inFlight && s.advice.requestID == e.ID
+}
+
 func (l *Leader) adviceAnswered(e AdviceAnswered) {
+	if e.Request.Term != l.term {
+		return // this process sent the request in an earlier term
+	}
 	s := l.steps[e.Request.Step]
-	agent := l.agents.find(e.Request.Agent)
 	if e.Err != nil {
-		if agent != nil {
+		if agent := l.agents.find(e.Request.Agent); agent != nil {
 			agent.downUntil = l.now + agentPause
 		}
 		l.log("info", "advice", e.Request.Step.String(), e.Request.Agent, "the request for advice failed", "error", e.Err.Error())
-		if s != nil && s.advice.agent == e.Request.Agent {
+		if s != nil && s.awaits(&e.Request) {
 			s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceRetry
 			l.dropHold(s)
 		}
 		l.needsSchedule = true
 		return
 	}
-	if s == nil {
+	if s == nil || s.queue.Advice == nil {
 		return
 	}
-	if s.advice.agent == e.Request.Agent {
+	if s.awaits(&e.Request) {
 		s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceInterval
 	}
 	l.storeAdvice(s, &e)
@@ -324,8 +341,9 @@
 	l.needsSchedule = true
 }
 
-// storeAdvice stores verdicts and tickets. If the request named a worker and the answer
-// omits it, that incarnation of the worker may not run the step, now or later.
+// storeAdvice stores verdicts and tickets for the incarnations that the request named. If the
+// answer omits one, that incarnation may not run the step, now or later. A verdict about a later
+// incarnation is kept.
 func (l *Leader) storeAdvice(s *step, e *AdviceAnswered) {
 	if s.advice.verdicts == nil {
 		s.advice.verdicts = map[string]verdict{}
@@ -339,19 +357,19 @@
 		tickets[t.Worker] = t.Ticket
 	}
 	queried, approved := 0, 0
-	for _, id := range e.Request.Workers {
-		w := l.workers[id]
-		if w == nil {
+	for _, w := range e.Request.Workers {
+		ticket, ok := tickets[w.ID]
+		last, known := s.advice.verdicts[w.ID]
+		if known && last.startedMS > w.StartedMS {
 			continue
 		}
-		ticket, ok := tickets[id]
-		if _, known := s.advice.verdicts[id]; !known {
+		if !known {
 			queried++
 			if ok {
 				approved++
 			}
 		}
-		s.advice.verdicts[id] = verdict{startedMS: w.StartedMS, approved: ok, ticket: ticket, validUntil: l.now + valid - ticketMargin}
+		s.advice.verdicts[w.ID] = verdict{startedMS: w.StartedMS, approved: ok, ticket: ticket, validUntil: l.now + valid - ticketMargin}
 	}
 	l.approval(s.queue.Name).add(queried, approved)
 }
--- a/coordination/jobs/effect.go
+++ b/coordination/jobs/effect.go
@@ -63,9 +63,11 @@
 
 	// RequestAdvice asks which workers may run a step. It is answered with AdviceAnswered.
 	RequestAdvice struct {
+		Term    uint64
+		ID      uint64 // unique within a term
 		Agent   string // peer address of the process that calls the advice service
 		Step    job.StepRef
-		Workers []string
+		Workers []job.Incarnation
 		Timeout time.Duration
 	}
 
@@ -95,6 +97,15 @@
 func (StartMaintenance) jobEffect() {}
 func (Measure) jobEffect()          {}
 
+// WorkerIDs returns the IDs of the workers that a request is about.
+func (r *RequestAdvice) WorkerIDs() []string {
+	ids := make([]string, 0, len(r.Workers))
+	for _, w := range r.Workers {
+		ids = append(ids, w.ID)
+	}
+	return ids
+}
+
 // Metric is the quantity that a Measure records.
 type Metric string
 
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -62,6 +62,7 @@
 	finalJobs         []job.ID                     // final jobs, in the order in which they became final for this leader
 	pruneAtMS         map[job.ID]int64             // Unix milliseconds
 	agents            agents                       // processes that can call the advice service
+	lastAdviceID      uint64                       // ID of the last call for advice
 	approvalRates     map[string]*approvalRate     // by queue
 	speeds            *estimate.Estimator
 	waves             waves
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -438,7 +438,7 @@
 
 func (h *fakeHost) answerAdvice(e RequestAdvice) Event {
 	out := AdviceAnswered{Request: e, ValidMS: 1500}
-	for _, id := range e.Workers {
+	for _, id := range e.WorkerIDs() {
 		key := e.Step.String() + id
 		if _, known := h.sim.approved[key]; !known {
 			share := h.sim.approvalShare
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -326,7 +326,7 @@
 	out := jobs.AdviceAnswered{Request: e}
 	ctx, cancel := context.WithTimeout(m.runCtx, e.Timeout)
 	defer cancel()
-	body, err := json.Marshal(protocol.AdviceRequest{Step: e.Step, Workers: e.Workers})
+	body, err := json.Marshal(protocol.AdviceRequest{Step: e.Step, Workers: e.WorkerIDs()})
 	if err != nil {
 		out.Err = errors.Wrap(err, "encode")
 		return out
