jobs: waiting steps follow the configuration in force

Cause: the leader copied the settings of a queue into its record of a step when the step became ready. It went on choosing workers of the earlier pool, and each assignment was rejected when it was applied, since that check goes by the configuration in force.

Change: when a configuration is applied, the leader renews the settings, objective and deadline of all steps; holds, retry delays and verdicts of a queue whose pool or advice has changed are dropped. A waiting task that has failed as often as the queue allows now ends its job (FailJob): no leader could start it any more.

Conclusion: a copy of settings outlives them; what is derived from a configuration is renewed with it.

--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -21,6 +21,7 @@
 	labels       []string
 	domain       string
 	vm           string
+	pool         string
 	incarnations map[job.Incarnation]bool // all that have run at the address
 	sequence     int64
 	highestTerm  uint64 // highest fencing token that it has seen
@@ -51,7 +52,7 @@
 }
 
 func (sim *simulation) addWorker(id string, cores int) *fakeWorker {
-	x := &fakeWorker{sim: sim, id: id, address: id + ":1", clockRate: 0.98 + 0.02*sim.rng.Float64(), speed: 1, capacity: resource.Amount{MilliCores: cores * 1000, MemoryMB: 64000}}
+	x := &fakeWorker{sim: sim, id: id, address: id + ":1", pool: "p", clockRate: 0.98 + 0.02*sim.rng.Float64(), speed: 1, capacity: resource.Amount{MilliCores: cores * 1000, MemoryMB: 64000}}
 	x.startIncarnation(id)
 	sim.workers[x.address] = x
 	return x
@@ -70,7 +71,7 @@
 }
 
 func (x *fakeWorker) record() job.Worker {
-	return job.Worker{Incarnation: job.Incarnation{ID: x.id, StartedMS: x.startedMS}, Address: x.address, Pool: "p", Domain: x.domain, VM: x.vm, Capacity: x.capacity, Labels: x.labels}
+	return job.Worker{Incarnation: job.Incarnation{ID: x.id, StartedMS: x.startedMS}, Address: x.address, Pool: x.pool, Domain: x.domain, VM: x.vm, Capacity: x.capacity, Labels: x.labels}
 }
 
 // clock returns the worker's clock in milliseconds. It is never 0, which means "not
@@ -144,6 +145,9 @@
 	return OrderDone
 }
 
+// configApplyTime is the time after which no start may follow an earlier configuration.
+const configApplyTime = 2 * time.Second
+
 // checkStart fails the test if a start violates an invariant: the task is done or has no
 // attempts left, a step that it depends on is not done, or the start was sent too long after the worker
 // began to drain or the job was cancelled.
@@ -163,6 +167,9 @@
 			}
 		}
 	}
+	if pool := sim.state.QueueOf(sim.state.Job(e.Job)).Pool; pool != x.pool && e.SentAt > sim.reconfiguredAt+configApplyTime {
+		sim.errorf("task %s of a queue with the pool %s starts on %s of the pool %s", e.TaskRef, pool, x.id, x.pool)
+	}
 	if x.drainingSince > 0 && sim.now-x.drainingSince > 2*time.Second && e.SentAt > x.drainingSince+2*time.Second {
 		sim.errorf("task %s starts on %s, which is draining since %v", e.TaskRef, x.id, x.drainingSince)
 	}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -73,7 +73,8 @@
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
-	invalidJobs       []job.ID // stored jobs beyond the limits, which an earlier version accepted
+	exhaustedJobs     []job.FailJob // jobs with a task that has no attempt left in the configuration in force
+	invalidJobs       []job.ID      // stored jobs beyond the limits, which an earlier version accepted
 
 	takingOver        bool // NewLeader is loading the replicated state
 	needsSchedule     bool // a scheduling pass may be able to place tasks
@@ -194,6 +195,7 @@
 	l.saveSpeeds()
 	l.removeAbsentWorkers()
 	l.removeInvalidRecords()
+	l.failExhausted()
 	l.logForeignHeartbeats()
 	l.checkAdvice()
 	l.checkGangs()
@@ -210,6 +212,8 @@
 		l.jobChanged(j)
 	}
 	switch {
+	case c.Configure != nil && a.Rejected == nil:
+		l.configurationApplied()
 	case c.Join != nil && a.Rejected == nil:
 		l.workerJoined(c.Join)
 	case c.Leave != nil && a.Rejected == nil:
--- /dev/null
+++ b/coordination/jobs/reconfigure.go
@@ -0,0 +1,95 @@
+package jobs
+
+import (
+	"fmt"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// configurationApplied brings the steps in line with the configuration that has come into force.
+// Assignments that were proposed under the earlier one are rejected when they are applied, and
+// their tasks are placed again.
+func (l *Leader) configurationApplied() {
+	for _, s := range l.sortedSteps() {
+		if q := l.state.QueueOf(s.job); !q.Equal(&s.queue) {
+			l.setQueue(s, q)
+		}
+	}
+}
+
+// setQueue replaces the settings of a step's queue and drops what was derived from the earlier
+// ones. Runs that are assigned go on.
+func (l *Leader) setQueue(s *step, q job.Queue) {
+	earlier := s.queue
+	s.queue = q
+	s.setObjective()
+	l.objectives[s.ref.Job] = s.objectiveMS - s.job.AcceptedMS
+	l.findExhausted(s)
+	if earlier.Pool == q.Pool && job.EqualAdvice(earlier.Advice, q.Advice) {
+		return
+	}
+	l.dropHold(s)
+	s.nextTry = 0
+	s.advice = advice{} // an answer under way is stored, but the step does not wait for it
+	l.log("info", "queue changed", s.ref.String(), "", "the step goes on with other settings of its queue", "queue", q.Name,
+		"pool", q.Pool, "earlier_pool", earlier.Pool, "advice", q.Advice != nil, "waiting", len(s.waiting()))
+}
+
+// A configuration may allow fewer attempts than a task that waits has failed already. The task
+// cannot be started any more, so its job has failed.
+
+// findExhausted notes the job of a step if a waiting task of the step has no attempt left. While
+// such a task runs, the step is checked again when its job changes.
+func (l *Leader) findExhausted(s *step) {
+	s.exhausted = false
+	limit := s.queue.MaxAttempts
+	o := s.job.Occurrence(s.ref.Occurrence)
+	if limit <= 0 || s.spec.Service || o == nil || s.job.Phase.Final() {
+		return
+	}
+	for i := range o.Steps[s.ref.Step] {
+		t := &o.Steps[s.ref.Step][i]
+		if t.Status == job.TaskDone || t.Failures < limit {
+			continue
+		}
+		s.exhausted = true
+		if t.Status == job.TaskWaiting && t.Worker == "" {
+			l.exhaustedJobs = append(l.exhaustedJobs, failJob(s, i, t.Failures, limit))
+			return
+		}
+	}
+}
+
+func failJob(s *step, task, failures, limit int) job.FailJob {
+	ref := job.TaskRef{StepRef: s.ref, Index: task}
+	return job.FailJob{Job: s.ref.Job, Reason: fmt.Sprintf("task %s failed %d times, queue %s allows %d", ref, failures, s.queue.Name, limit)}
+}
+
+// recheckExhausted checks the steps of a changed job again whose tasks had no attempt left while
+// they ran.
+func (l *Leader) recheckExhausted(j *job.Job) {
+	for k := range j.Occurrences {
+		for i := range j.Steps {
+			if s := l.steps[job.StepRef{Job: j.ID, Occurrence: k, Step: i}]; s != nil && s.exhausted {
+				l.findExhausted(s)
+			}
+		}
+	}
+}
+
+// failExhausted proposes to fail the jobs that have a task without an attempt left.
+func (l *Leader) failExhausted() {
+	list := l.exhaustedJobs
+	l.exhaustedJobs = nil
+	for _, c := range list {
+		j := l.state.Job(c.Job)
+		if j == nil || j.Phase.Final() {
+			continue
+		}
+		c.AtMS = l.wallMS
+		ok := l.propose(&job.Command{FailJob: &c}, nil) // a leader that takes over finds the task as well
+		if !ok {
+			l.exhaustedJobs = append(l.exhaustedJobs, c)
+		}
+	}
+}
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -59,6 +59,7 @@
 	gangs             map[gangRun][]member
 	relays            []*fakeRelay
 	vms               fakeVMs
+	reconfiguredAt    time.Duration // time at which reconfigure was last called
 
 	// stateCheckInterval is the number of commands after which the invariants of the state are
 	// checked, 0 for 1. The check takes time in proportion to the number of jobs.
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -23,6 +23,7 @@
 	readyAt            time.Duration // time at which the step became ready
 	triedAt            time.Duration // time at which a pass last tried to place tasks of the step, or at which it became ready
 
+	exhausted bool          // a running task has failed as often as the queue allows now
 	failedRun int           // last run of a gang for which a failed end is committed or being committed in this term, 0 for none
 	preempted map[int]int   // number of preemptions by task index
 	hold      *hold         // capacity held for a gang, nil for none
@@ -45,6 +46,7 @@
 		l.jobBecameFinal(j)
 		return
 	}
+	l.recheckExhausted(j)
 	if j.CheckLimits() != nil {
 		l.invalidJobs = append(l.invalidJobs, j.ID)
 		return
@@ -171,6 +173,7 @@
 		l.objectives[j.ID] = s.objectiveMS - j.AcceptedMS
 		if o != nil {
 			l.attachRuns(s, o)
+			l.findExhausted(s)
 		}
 		l.steps[ref] = s
 		l.needsSchedule = true
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -27,6 +27,8 @@
 		return s.submit(c.Submit)
 	case c.Cancel != nil:
 		return s.cancel(c.Cancel)
+	case c.FailJob != nil:
+		return s.failJob(c.FailJob)
 	case c.Assign != nil:
 		return s.assign(c.Assign)
 	case c.EndRuns != nil:
@@ -92,6 +94,15 @@
 	return Applied{Jobs: []*Job{j}}
 }
 
+func (s *State) failJob(c *FailJob) Applied {
+	j := s.jobs[c.Job]
+	if j == nil || j.Phase.Final() {
+		return rejected("job %s is not open", c.Job)
+	}
+	s.finish(j, Failed, c.AtMS, c.Reason)
+	return Applied{Jobs: []*Job{j}}
+}
+
 // finish sets the final phase of a job. Tasks that reserve capacity of a worker are kept
 // until their ends are recorded.
 func (s *State) finish(j *Job, p Phase, atMS int64, reason string) {
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -6,6 +6,7 @@
 	Configure          *Configuration      `json:"configure,omitempty"`
 	Submit             *Submit             `json:"submit,omitempty"`
 	Cancel             *Cancel             `json:"cancel,omitempty"`
+	FailJob            *FailJob            `json:"fail,omitempty"`
 	Assign             *Assign             `json:"assign,omitempty"`
 	EndRuns            *EndRuns            `json:"end,omitempty"`
 	Join               *Worker             `json:"join,omitempty"`
@@ -31,6 +32,15 @@
 	AtMS int64 `json:"at_ms"`
 }
 
+// FailJob ends a job that cannot complete, because a task has failed as often as the queue
+// allows. It is needed when a configuration reduces the number of attempts: the last failure
+// of a task ends its job without it.
+type FailJob struct {
+	Job    ID     `json:"job"`
+	AtMS   int64  `json:"at_ms"`
+	Reason string `json:"reason"`
+}
+
 // Assign binds tasks of one step to workers, all of them or none. Each assignment gets
 // a new run number.
 type Assign struct {
--- a/state/job/config.go
+++ b/state/job/config.go
@@ -30,6 +30,21 @@
 	Advice          *Advice `json:"advice,omitempty"`  // nil if every worker of the pool may run the queue's steps
 }
 
+// Equal reports whether two queues have the same settings.
+func (q *Queue) Equal(other *Queue) bool {
+	a, b := *q, *other
+	a.Advice, b.Advice = nil, nil
+	return a == b && EqualAdvice(q.Advice, other.Advice)
+}
+
+// EqualAdvice reports whether two queues need the same advice, or none.
+func EqualAdvice(a, b *Advice) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return *a == *b
+}
+
 // Advice describes the calls to the advice service, which returns the workers that may run
 // a step, with a ticket (a permission that expires) for each.
 type Advice struct {
