jobs: room for a waiting gang is bounded, planned ahead and backfilled

Cause: the reservation kept all free room for the first gang that lacked some, however long that gang had to wait and whatever others needed. It kept nothing on workers where no task of the gang fitted yet, and a late gang came after all work in time, so it did not protect the gang either.

Change: a plan of the workers that are expected to have room first, by the progress and the expected run times of what runs there. Steps that end in half of the time until the gang fits, or fit beside it, may use the room. None is kept if that time is not known or above 10 s; in a pool used by less than half it is kept for 2 s at most. A late gang keeps its place while less than three quarters of the pool are used.

Conclusion: a reservation needs an expected start, or it idles workers without protecting anyone.

--- a/coordination/jobs/candidate.go
+++ b/coordination/jobs/candidate.go
@@ -15,11 +15,13 @@
 	tasksThatFit int     // number of tasks of the step that fit
 	speed        float64 // estimated speed of the worker
 	nearData     bool    // the worker is in the rack of the step's data
+	takesPlanned bool    // the tasks take room that is planned for a gang
 }
 
 // candidates returns the workers among the given ones that pass a filter and have room for
-// a task of the step, best first: near the data, then not avoided by the step, then by speed,
-// then with the least free cores, so that large tasks find room on other workers. For
+// a task of the step, best first: near the data, then not avoided by the step, then beside the room
+// that is planned for a gang, then by speed, then with the least free cores, so that large tasks find
+// room on other workers. A worker with room both beside and within what is planned is listed twice. For
 // best-effort steps the order is: not avoided by the step, then with the highest pace, then
 // with the most idle cores.
 func (l *Leader) candidates(p *schedulingPass, s *step, among []*worker, allowed func(*worker) bool) []candidate {
@@ -32,8 +34,16 @@
 			continue
 		}
 		if tasksThatFit := l.tasksThatFit(p.free(w), s, w); tasksThatFit > 0 {
-			speed := l.speeds.Speed(w.ID)
-			out = append(out, candidate{w: w, tasksThatFit: tasksThatFit, speed: speed, nearData: w.rec.HasLabel(s.spec.DataRack)})
+			c := candidate{w: w, tasksThatFit: tasksThatFit, speed: l.speeds.Speed(w.ID), nearData: w.rec.HasLabel(s.spec.DataRack)}
+			beside := l.roomBeside(p, s, w)
+			if beside > 0 {
+				c.tasksThatFit = beside
+				out = append(out, c)
+			}
+			if beside < tasksThatFit {
+				c.tasksThatFit, c.takesPlanned = tasksThatFit-beside, true
+				out = append(out, c)
+			}
 		}
 	}
 	if s.spec.BestEffort {
@@ -52,6 +62,7 @@
 		return cmp.Or(
 			-compareBool(a.nearData, b.nearData),
 			compareBool(s.avoided[a.w.ID], s.avoided[b.w.ID]),
+			compareBool(a.takesPlanned, b.takesPlanned),
 			cmp.Compare(speedRank(a.speed, canWait), speedRank(b.speed, canWait)),
 			cmp.Compare(p.free(a.w).MilliCores, p.free(b.w).MilliCores),
 			cmp.Compare(a.w.ID, b.w.ID),
--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -56,6 +56,9 @@
 	}
 	r.usage = t.Usage
 	if t.Percent != r.percent || !r.hasProgressed && t.Percent > 0 {
+		if !r.hasProgressed {
+			r.firstPercent, r.firstPercentAt = t.Percent, l.now
+		}
 		r.percent, r.progressAt, r.hasProgressed = t.Percent, l.now, true
 	}
 }
@@ -154,6 +157,9 @@
 	}
 }
 
+// taskKind is the kind under which run times of tasks are learned, for each queue.
+const taskKind = "task"
+
 // recordOutcome logs the end of a run and updates the failure streak and the estimated
 // speed of the worker. After a failure the step avoids the worker. It is called before the
 // end is committed.
@@ -172,7 +178,7 @@
 	case job.EndDone:
 		w.failures.succeeded()
 		if s != nil && !s.spec.Gang && r.phase == running {
-			l.speeds.Observe(l.now, estimate.Observation{Team: s.queue.Name, Kind: "task", Endpoint: w.ID, DeclaredMS: s.spec.EstimateMS, RunMS: (l.now - r.phaseSince).Milliseconds()})
+			l.speeds.Observe(l.now, estimate.Observation{Team: s.queue.Name, Kind: taskKind, Endpoint: w.ID, DeclaredMS: s.spec.EstimateMS, RunMS: (l.now - r.phaseSince).Milliseconds()})
 		}
 	case job.EndFailed:
 		if s != nil {
--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -16,6 +16,7 @@
 	if items := l.planGang(p, s, waiting); items != nil {
 		l.waitingStats.gangsAssigned++
 		l.dropHold(s)
+		s.reservation = nil
 		l.assign(s, items)
 		return true
 	}
@@ -24,7 +25,12 @@
 	}
 	s.nextTry = l.now + gangRetryInterval
 	l.queryForGang(p, s, len(waiting))
-	l.reserveForNext(p, s, len(waiting))
+	s.reservation = nil
+	if p.reservation == nil && p.plans < maxPlans {
+		p.plans++
+		s.reservation = l.planReservation(p, s, len(waiting))
+	}
+	l.reserve(p, s)
 	return false
 }
 
--- a/coordination/jobs/hold.go
+++ b/coordination/jobs/hold.go
@@ -198,27 +198,6 @@
 	return out
 }
 
-// reserveForNext keeps the free room of the workers that may run a gang from later steps of
-// the pass, so that running tasks make room for it as they end. Only the first gang of a
-// pass that lacks room, and that fits once these workers are idle, gets such room. If several
-// gangs had some, none of them might ever have enough.
-func (l *Leader) reserveForNext(p *schedulingPass, s *step, need int) {
-	if p.reservedForNext || l.roomWhenIdle(p, s) < need {
-		return
-	}
-	p.reservedForNext = true
-	all := l.candidates(p, s, p.usable, func(w *worker) bool { return s.queue.Advice == nil || s.approves(w) })
-	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(b.tasksThatFit, a.tasksThatFit) })
-	for _, c := range all {
-		if need <= 0 {
-			return
-		}
-		n := min(need, c.tasksThatFit)
-		p.reservedAmounts[c.w] = p.reservedAmounts[c.w].Add(s.spec.Reserved().Scale(n))
-		need -= n
-	}
-}
-
 // roomWhenIdle returns how many tasks of a step fit on the workers that are known to be
 // allowed to run it, if nothing else runs there.
 func (l *Leader) roomWhenIdle(p *schedulingPass, s *step) int {
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -55,6 +55,7 @@
 	steps             map[job.StepRef]*step
 	holding           map[job.StepRef]*step        // gangs for which capacity is held
 	futureOccurrences *queue.Timeline[job.StepRef] // occurrences that are not due yet
+	keptIdle          map[string]keptIdle          // by pool
 	suspectDomains    map[string]domainSuspicion   // by failure domain
 	queued            map[job.ID]string            // queue of each open job that does not repeat and has no task that is known to have started
 	objectives        map[job.ID]int64             // milliseconds from acceptance to the objective of the last active occurrence, for log lines about open jobs
@@ -88,7 +89,7 @@
 func NewLeader(host Host, st *job.State, b Bounds, term uint64, now time.Duration, wallMS int64) *Leader {
 	l := &Leader{
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
-		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{},
+		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, keptIdle: map[string]keptIdle{},
 		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
 		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
 		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), relays: newRelays(),
--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -10,17 +10,21 @@
 // schedulingPass is one pass over the waiting steps. The usable workers are determined once
 // for all steps.
 type schedulingPass struct {
-	reservedAmounts map[*worker]resource.Amount // capacity reserved for an earlier gang that lacks room
-	reservedForNext bool                        // such a gang was found in this pass
-	held            map[*worker][]heldAmount    // capacity held for gangs
-	placing         *step                       // gang that is being placed, which can use what is held for it
-	usable          []*worker                   // sorted by ID
-	runs            map[*worker]*workerRuns     // computed on demand
-	maxFree         resource.Amount             // largest free amount of each resource on any usable worker, holds included
+	reservation *reservation                // room that is planned for an earlier gang that lacks room, nil for none
+	kept        map[*worker]resource.Amount // free capacity that the gang needs, for tasks that run beyond its start
+	plans       int                         // number of gangs for which a reservation was planned
+	keepsRoom   bool                        // other steps must leave that room free; otherwise they use it last
+	backfills   bool                        // the step that is being tried may use that room
+	shares      poolShares                  // computed on demand
+	held        map[*worker][]heldAmount    // capacity held for gangs
+	placing     *step                       // gang that is being placed, which can use what is held for it
+	usable      []*worker                   // sorted by ID
+	runs        map[*worker]*workerRuns     // computed on demand
+	maxFree     resource.Amount             // largest free amount of each resource on any usable worker, holds included
 }
 
 func (l *Leader) newPass() *schedulingPass {
-	p := &schedulingPass{reservedAmounts: map[*worker]resource.Amount{}, held: map[*worker][]heldAmount{}, runs: map[*worker]*workerRuns{}}
+	p := &schedulingPass{shares: poolShares{}, held: map[*worker][]heldAmount{}, runs: map[*worker]*workerRuns{}}
 	for _, w := range l.byID {
 		if l.usable(w) && !l.waves.isCordoned(w.rec.VM) {
 			p.usable = append(p.usable, w)
@@ -34,12 +38,12 @@
 	return p
 }
 
-// free returns the capacity of a worker that is neither assigned, nor reserved in this pass,
-// nor held for a gang other than the one that is being placed.
+// free returns the capacity of a worker that is neither assigned, nor kept from the step that is
+// being tried, nor held for a gang other than the one that is being placed.
 func (p *schedulingPass) free(w *worker) resource.Amount {
 	free := w.rec.Free().Sub(w.pendingAmount)
-	if len(p.reservedAmounts) > 0 {
-		free = free.Sub(p.reservedAmounts[w])
+	if p.keepsRoom && !p.backfills {
+		free = free.Sub(p.kept[w])
 	}
 	for _, h := range p.held[w] {
 		if h.step != p.placing {
@@ -52,8 +56,8 @@
 // waitingStep is a step that may have tasks that can be placed.
 type waitingStep struct {
 	*step
-	missesDeadline int  // 1 if the job cannot be done by its deadline, else 0
-	late           bool // the job cannot be done by its objective
+	missesDeadline int  // 1 if the step comes last, since the job cannot be done by its deadline, else 0
+	late           bool // the step comes after work in time, since the job cannot be done by its objective
 }
 
 // Bounds of one pass. A step that cannot be placed in full costs a search through many workers,
@@ -157,6 +161,7 @@
 			continue
 		}
 		s.advice.isNew = false
+		p.backfills = l.backfills(p, s.step)
 		tasks := s.waiting()
 		switch {
 		case len(tasks) == 0:
@@ -166,7 +171,7 @@
 			}
 		case len(tasks) < s.spec.Count: // wait for the ends of the other runs
 		case l.now < s.nextTry:
-			l.reserveForNext(p, s.step, len(tasks))
+			l.reserve(p, s.step)
 		default:
 			if !l.placeGang(p, s.step, tasks) {
 				unplaced++
@@ -180,6 +185,7 @@
 // that need no more work. It looks at no single task: a pass tries only the first of many steps.
 func (l *Leader) waitingSteps() []waitingStep {
 	var list []waitingStep
+	shares := poolShares{}
 	for ref, s := range l.steps {
 		if s.isRemovable() {
 			l.dropHold(s)
@@ -190,7 +196,11 @@
 			continue
 		}
 		if s.mayHaveWaiting() {
-			list = append(list, waitingStep{s, l.missesDeadline(s), l.isLate(s)})
+			missesDeadline, late := l.missesDeadline(s), l.isLate(s)
+			if late && s.spec.Gang && shares.of(l, s.queue.Pool).highest < lateGangShare {
+				missesDeadline, late = 0, false
+			}
+			list = append(list, waitingStep{s, missesDeadline, late})
 		}
 	}
 	return list
--- a/coordination/jobs/reconfigure.go
+++ b/coordination/jobs/reconfigure.go
@@ -29,7 +29,7 @@
 		return
 	}
 	l.dropHold(s)
-	s.nextTry = 0
+	s.nextTry, s.reservation = 0, nil
 	s.advice = advice{} // an answer under way is stored, but the step does not wait for it
 	l.log("info", "queue changed", s.ref.String(), "", "the step goes on with other settings of its queue", "queue", q.Name,
 		"pool", q.Pool, "earlier_pool", earlier.Pool, "advice", q.Advice != nil, "waiting", len(s.waiting()))
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -46,6 +46,8 @@
 	percent         int           // progress as last reported
 	progressAt      time.Duration // time at which percent last changed
 	hasProgressed   bool          // some progress was reported
+	firstPercent    int           // progress as first reported, which is above 0 for a run that resumes or was adopted
+	firstPercentAt  time.Duration // time at which firstPercent was reported
 }
 
 // startRuns starts to track the runs of a committed assignment and sends their starts.
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -23,11 +23,12 @@
 	readyAt            time.Duration // time at which the step became ready
 	triedAt            time.Duration // time at which a pass last tried to place tasks of the step, or at which it became ready
 
-	exhausted bool          // a running task has failed as often as the queue allows now
-	failedRun int           // last run of a gang for which a failed end is committed or being committed in this term, 0 for none
-	preempted map[int]int   // number of preemptions by task index
-	hold      *hold         // capacity held for a gang, nil for none
-	nextTry   time.Duration // earliest time at which a gang that lacked room is tried again
+	exhausted   bool          // a running task has failed as often as the queue allows now
+	failedRun   int           // last run of a gang for which a failed end is committed or being committed in this term, 0 for none
+	preempted   map[int]int   // number of preemptions by task index
+	hold        *hold         // capacity held for a gang, nil for none
+	nextTry     time.Duration // earliest time at which a gang that lacked room is tried again
+	reservation *reservation  // plan of the room to keep for a gang that lacked room, nil for none
 
 	objectiveMS int64 // Unix milliseconds by which the whole job should be done
 	deadlineMS  int64 // Unix milliseconds after which completion of the job has no value
