jobs: the next incarnation of a worker rejects late starts of ended runs

Callers saw a task run again after it was done (standin life, TWICE): a start was not answered and sent again, its run ended, the worker restarted under its ID and executed the first copy.

Cause: runEnded dropped the run together with the note that a copy of its start may be under way. Only runs that had not ended were stopped on the next incarnation.

TestLateStartIsRejectedByTheNextIncarnation failed before ("task r.0.0.0 starts after its end as done was acknowledged").

--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -145,6 +145,7 @@
 		return
 	}
 	delete(w.runs, e.TaskRef)
+	l.lateStarts.add(l.now, w.Incarnation, r)
 	s := l.steps[e.StepRef]
 	if s == nil {
 		return
--- a/coordination/jobs/incarnation_test.go
+++ b/coordination/jobs/incarnation_test.go
@@ -74,3 +74,26 @@
 		// The simulation fails the test if an end as done is acknowledged after a later start.
 	}
 }
+
+// Guards against a task that runs again after it is done: a start gets no answer, is sent again and
+// the run ends. The worker restarts under its ID, and the first copy of the start arrives.
+func TestLateStartIsRejectedByTheNextIncarnation(t *testing.T) {
+	sim := newReadySimulation(t, 81, 1, nil)
+	x := sim.workers["w0:1"]
+	sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 500)}})
+	ref := job.TaskRef{StepRef: job.StepRef{Job: "r"}}
+	for x.runs[ref] == nil {
+		sim.run(sim.now + time.Millisecond)
+	}
+	sim.leader.workers["w0"].runs[ref].unanswered = true // a copy of the start is under way
+	sim.run(sim.now + 2*time.Second)
+	if p := sim.phase("r"); p != job.Completed {
+		t.Fatalf("the job is %q", p)
+	}
+	x.startIncarnation(x.id)
+	sim.run(sim.now + 2*time.Second)
+	late := StartRun{Order: Order{Worker: x.record().Incarnation, Address: x.address, Term: sim.term}, TaskRef: ref, Run: 1, UntilMS: x.clock() + 5000}
+	if r := x.start(&late); r != OrderSuperseded {
+		t.Errorf("the late start is answered with %q", r)
+	}
+}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -71,6 +71,7 @@
 	overload          overload
 	starts            startWindow
 	relays            relays
+	lateStarts        lateStarts
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
@@ -198,6 +199,7 @@
 	l.removeInvalidRecords()
 	l.failExhausted()
 	l.logForeignHeartbeats()
+	l.lateStarts.expire(l.now)
 	l.checkAdvice()
 	l.checkGangs()
 	l.checkProgress()
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -202,6 +202,7 @@
 func (l *Leader) stopAnswered(e StopAnswered) {
 	w, r := l.handleOrderAnswer(e.Stop.Order, e.Stop.TaskRef, e.Stop.Run, e.Result, e.ClockMS)
 	if r == nil {
+		l.lateStarts.stopAnswered(l.now, &e)
 		return
 	}
 	switch e.Result {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -149,6 +149,7 @@
 // dropRuns removes all runs of a worker from the worker and from their steps.
 func (l *Leader) dropRuns(w *worker) {
 	for ref, r := range w.runs {
+		l.lateStarts.add(l.now, w.Incarnation, r)
 		if s := l.steps[ref.StepRef]; s != nil && s.runs[ref.Index] == r {
 			delete(s.runs, ref.Index)
 		}
@@ -224,6 +225,7 @@
 	for _, r := range w.sortedRuns() {
 		l.reconcileRun(w, r)
 	}
+	l.preventLateStarts(w)
 	if w.replaced {
 		l.removeIfReplaced(w)
 	}
