jobs: a worker that has deregistered is used again only after a later contact

Cause: such a worker gets no work for 3 s, but an idle worker counts as present for 4.5 s after its last contact, so it was used again in between.

Change: after the 3 s the worker needs a contact from after them.

TestDeregisteredWorkerThatAnswersOnceIsNotUsed failed before ("can get work 3.2s after").

Conclusion: the two times no longer depend on each other.

--- a/coordination/jobs/heartbeat.go
+++ b/coordination/jobs/heartbeat.go
@@ -132,12 +132,12 @@
 }
 
 // departureTime is how long a worker that has deregistered gets no new work. A worker ends at
-// once after its deregistration; one that still answers after this time runs on, and the message
-// was late or came from another program.
+// once after its deregistration; one that is in contact after this time runs on, and the message was
+// late or came from another program.
 const departureTime = 3 * time.Second
 
 // deregisterWorker processes the report that a worker is stopping. The worker gets no new work
-// for departureTime and is polled at once. Its tasks are not ended, since the report could be a
+// for departureTime, and then until its next contact, and is polled at once. Its tasks are not ended, since the report could be a
 // late message of an earlier incarnation. If the worker has stopped, it does not answer the poll,
 // and its tasks end when its lease expires at the latest.
 func (l *Leader) deregisterWorker(e DeregisterWorker) {
--- a/coordination/jobs/odd_events_test.go
+++ b/coordination/jobs/odd_events_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// Guards against work that is assigned to a worker that has deregistered, has answered the poll that
+// follows and has stopped then: it would wait there until the lease expires.
+func TestDeregisteredWorkerThatAnswersOnceIsNotUsed(t *testing.T) {
+	sim := newReadySimulation(t, 16, 2, nil)
+	x := sim.workers["w0:1"]
+	sim.handle(DeregisterWorker{Token: 900, ID: "w0"})
+	sim.run(sim.now + 100*time.Millisecond)
+	x.stopped = true
+	for end := sim.now + 3*staleAfter; sim.now < end; {
+		sim.run(sim.now + 100*time.Millisecond)
+		if sim.leader.usable(sim.leader.workers["w0"]) {
+			t.Fatalf("the worker can get work %v after it has stopped", sim.now)
+		}
+	}
+}
+
 // Guards against work for a worker that has stopped after its deregistration.
 func TestDeregisteredWorkerThatStopsIsNotUsed(t *testing.T) {
 	sim := newReadySimulation(t, 15, 1, nil)
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -58,7 +58,7 @@
 	unresponsive    bool          // orders were not answered, or the worker deregistered; no new work until an observation is answered
 	committingLeave bool          // a Leave command is being committed
 	replaced        bool          // another incarnation answers at its address
-	departsUntil    time.Duration // time until which a worker that has deregistered gets no new work
+	departsUntil    time.Duration // time until which a worker that has deregistered gets no new work, 0 if it has not
 	nextListedAt    time.Duration // send time of the last observation to which the next incarnation listed its runs
 	observing       bool          // an observation is not answered yet
 	observeAtOnce   bool          // the next observation is needed even without runs and must be answered at once
@@ -299,8 +299,8 @@
 	if s := l.suspectDomains[w.rec.Domain]; l.now < s.until && w.lastContact <= s.since {
 		return false
 	}
-	if l.now < w.departsUntil {
-		return false
+	if l.now < w.departsUntil || w.lastContact < w.departsUntil {
+		return false // deregistered, and not in contact since departureTime has passed
 	}
 	return !w.unresponsive && w.misses == 0 && !w.committingLeave && !w.replaced && !w.rec.Draining && w.clockMS > 0 &&
 		(len(w.runs) > 0 || l.now-w.lastContact < staleAfter) && !w.failures.quarantined(l.now)
