jobs: at most 30% of a pool's workers are in quarantine

Cause: a failure is put down to the worker, also if the job fails on every worker, and nothing bounded how many workers are in quarantine.

Change: if more than 30% of a pool's workers, and more than one, are in quarantine, all quarantines of the pool end.

Conclusion: failures on many workers are evidence against the jobs.

--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -185,8 +185,6 @@
 		if s != nil {
 			s.avoided[w.ID] = true
 		}
-		if w.failures.failed(l.now, e.Job) {
-			l.log("warn", "quarantine", "", w.ID, "different jobs failed in a row on the worker", "until_ms", (w.failures.until - l.now).Milliseconds())
-		}
+		l.recordFailure(w, e.Job, "different jobs failed in a row on the worker")
 	}
 }
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -128,7 +128,7 @@
 	}
 	x.checkStart(e)
 	spec := x.sim.specs[e.Job].Steps[e.Step]
-	r := &fakeRun{number: e.Run, need: spec.Reserved(), acceptedAt: x.sim.now, fails: x.sim.rng.Float64() < x.failShare}
+	r := &fakeRun{number: e.Run, need: spec.Reserved(), acceptedAt: x.sim.now, fails: x.sim.rng.Float64() < x.failShare || x.sim.hopeless[e.Job]}
 	r.work = time.Duration(float64(spec.EstimateMS)*(0.5+x.sim.rng.Float64())/x.speed) * time.Millisecond
 	if saved, ok := x.sim.savedWork[e.TaskRef]; ok {
 		r.work = max(0, r.work-saved) + restoreTime
--- a/coordination/jobs/quarantine.go
+++ b/coordination/jobs/quarantine.go
@@ -42,6 +42,45 @@
 	return true
 }
 
+// maxQuarantinedShare is the share of a pool's workers that can be in quarantine. If more seem to
+// fail, jobs that cannot be done are the likely cause.
+const maxQuarantinedShare = 0.3
+
+// recordFailure counts the failure of a job on a worker, and quarantines the worker if several jobs
+// have failed there in a row.
+func (l *Leader) recordFailure(w *worker, id job.ID, reason string) {
+	if !w.failures.failed(l.now, id) {
+		return
+	}
+	l.log("warn", "quarantine", "", w.ID, reason, "until_ms", (w.failures.until - l.now).Milliseconds())
+	l.limitQuarantine(w.rec.Pool)
+}
+
+// limitQuarantine ends all quarantines of a pool if they concern more than maxQuarantinedShare of
+// its workers, and more than one: otherwise a few jobs that fail everywhere would leave no worker
+// for all others.
+func (l *Leader) limitQuarantine(pool string) {
+	var quarantined []*worker
+	all := 0
+	for _, w := range l.byID {
+		if w.rec.Pool != pool || w.unresponsive {
+			continue
+		}
+		all++
+		if w.failures.quarantined(l.now) {
+			quarantined = append(quarantined, w)
+		}
+	}
+	if len(quarantined) <= max(1, int(maxQuarantinedShare*float64(all))) {
+		return
+	}
+	for _, w := range quarantined {
+		w.failures = failureStreak{}
+	}
+	l.needsSchedule = true
+	l.log("warn", "quarantine", "", "", "failures on many workers are put down to the jobs: all quarantines of the pool end", "pool", pool, "quarantined", len(quarantined), "workers", all)
+}
+
 func (s *failureStreak) succeeded() { s.jobs, s.lastDuration = nil, 0 }
 
 func (s *failureStreak) quarantined(now time.Duration) bool { return now < s.until }
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -59,7 +59,8 @@
 	gangs             map[gangRun][]member
 	relays            []*fakeRelay
 	vms               fakeVMs
-	reconfiguredAt    time.Duration // time at which reconfigure was last called
+	hopeless          map[job.ID]bool // jobs whose tasks fail on every worker
+	reconfiguredAt    time.Duration   // time at which reconfigure was last called
 
 	// stateCheckInterval is the number of commands after which the invariants of the state are
 	// checked, 0 for 1. The check takes time in proportion to the number of jobs.
@@ -106,7 +107,7 @@
 func newSimulation(t testing.TB, seed uint64) *simulation {
 	sim := &simulation{
 		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 7)), state: job.New(), workers: map[string]*fakeWorker{},
-		approved: map[string]bool{}, answers: map[Token]Answer{}, drainReports: map[Token]*fakeWorker{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, failedRuns: map[job.TaskRef]map[int]bool{}, ackedFailures: map[job.TaskRef]int{}, highestStart: map[job.TaskRef]int{},
+		approved: map[string]bool{}, answers: map[Token]Answer{}, drainReports: map[Token]*fakeWorker{}, ackedDone: map[job.TaskRef]bool{}, finished: map[job.TaskRef]bool{}, failedRuns: map[job.TaskRef]map[int]bool{}, hopeless: map[job.ID]bool{}, ackedFailures: map[job.TaskRef]int{}, highestStart: map[job.TaskRef]int{},
 		advisorFreeAt: map[string]time.Duration{}, cancelledAt: map[job.ID]time.Duration{}, specs: map[job.ID]job.Submission{}, gangs: map[gangRun][]member{}, approvalShare: 0.8,
 	}
 	sim.elect()
--- a/coordination/jobs/stalled.go
+++ b/coordination/jobs/stalled.go
@@ -54,9 +54,7 @@
 			maxStall := max(stalledAfter, time.Duration(stalledShare*float64(s.spec.EstimateMS))*time.Millisecond)
 			if l.now-r.progressAt > maxStall {
 				s.avoided[w.ID] = true
-				if w.failures.failed(l.now, r.ref.Job) {
-					l.log("warn", "quarantine", "", w.ID, "tasks of different jobs stalled on the worker")
-				}
+				l.recordFailure(w, r.ref.Job, "tasks of different jobs stalled on the worker")
 				l.stopRun(w, r, "no progress")
 			}
 		}
