jobs: a VM that is being taken down counts against the disruptions of a service

Cause: mayDisrupt counted a task as available until its end was in the record, also if maintenance of its VM had been requested.

Change: such a task counts as unavailable. VMs that run services are taken down in turn, and a wave starts early enough for that.

Measured: TestWaveKeepsTheTasksThatAServiceNeeds failed before with two and four VMs down at most ("no task of the service runs") and passes now; without the earlier start the wave with four was late.

Conclusion: what was requested counts as done when the harm is weighed.

--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -98,9 +98,7 @@
 	if len(open) == 0 {
 		return
 	}
-	left := time.Duration(wave.AcceptedMS+wave.DurationMS-l.wallMS)*time.Millisecond - waveMargin
-	rounds := time.Duration((len(open) + max(1, wave.MaxDown) - 1) / max(1, wave.MaxDown))
-	slack := left/rounds - l.bounds.MaintenanceTime - time.Second // time until the next VM has to be taken down
+	slack := l.waveSlack(wave, open)
 	for _, vm := range open {
 		if busy >= max(1, wave.MaxDown) {
 			return
@@ -119,6 +117,34 @@
 	}
 }
 
+// waveSlack returns the time until the next of the open VMs has to be taken down. VMs that run
+// services are taken down one after the other, since their tasks must be available elsewhere before
+// the next one ends.
+func (l *Leader) waveSlack(wave *job.Wave, open []string) time.Duration {
+	const reserve = time.Second // for requests and for the return of the worker
+	left := time.Duration(wave.AcceptedMS+wave.DurationMS-l.wallMS)*time.Millisecond - waveMargin
+	rounds := time.Duration((len(open) + max(1, wave.MaxDown) - 1) / max(1, wave.MaxDown))
+	slack := left/rounds - l.bounds.MaintenanceTime - reserve
+	withService := 0
+	for _, vm := range open {
+		if w := l.workerOf(vm); w != nil && l.runsService(w) {
+			withService++
+		}
+	}
+	inTurn := time.Duration(withService) * (l.bounds.MaintenanceTime + l.bounds.MinAvailableTime + reserve)
+	return min(slack, left-inTurn)
+}
+
+// runsService reports whether a task of a service is assigned to a worker.
+func (l *Leader) runsService(w *worker) bool {
+	for ref := range w.runs {
+		if s := l.steps[ref.StepRef]; s != nil && s.spec.Service {
+			return true
+		}
+	}
+	return false
+}
+
 // requestMaintenance asks the platform to take down the VM of a worker. Which worker is on the VM
 // is committed before the first request: the answer to a repeated request does not say when the
 // VM was taken down, and another worker may run there by then.
@@ -180,8 +206,8 @@
 }
 
 // mayDisrupt reports whether the tasks of a service on a worker may be ended. Together with
-// the tasks that are unavailable already they must not exceed the disruptions that the
-// service allows.
+// the tasks that are unavailable already, or on a VM that is being taken down, they must not exceed
+// the disruptions that the service allows.
 func (l *Leader) mayDisrupt(s *step, w *worker) bool {
 	unavailableTasks, tasksOnWorker := 0, 0
 	for i := 0; i < s.spec.Count; i++ {
@@ -189,6 +215,8 @@
 		switch {
 		case r != nil && l.holder(r) == w:
 			tasksOnWorker++
+		case r != nil && l.isBeingTakenDown(l.holder(r)):
+			unavailableTasks++
 		case r == nil || r.phase != running || r.percent < 100 || l.now-r.progressAt < l.bounds.MinAvailableTime:
 			unavailableTasks++
 		}
@@ -196,6 +224,12 @@
 	return unavailableTasks+tasksOnWorker <= s.spec.Disruptions
 }
 
+// isBeingTakenDown reports whether maintenance of the VM of a worker is being requested or has
+// started. w may be nil.
+func (l *Leader) isBeingTakenDown(w *worker) bool {
+	return w != nil && w.rec.VM != "" && l.isDown(w.rec.VM)
+}
+
 // workerOf returns the worker on a VM, or nil. Of several incarnations it returns the last one:
 // the others have ended, but their leases have not expired yet.
 func (l *Leader) workerOf(vm string) *worker {
--- a/coordination/jobs/wave_test.go
+++ b/coordination/jobs/wave_test.go
@@ -75,3 +75,42 @@
 		t.Errorf("the task was started %d times within a second", run)
 	}
 }
+
+// Guards against a wave that ends both tasks of a service at once, one of which may be missing: the
+// maintenance of their VMs is requested in the same moment.
+func TestWaveKeepsTheTasksThatAServiceNeeds(t *testing.T) {
+	for _, maxDown := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint("at most ", maxDown, " down"), func(t *testing.T) {
+			sim := newReadySimulation(t, 34, 6, nil)
+			sim.addVMs()
+			service := tasks(2, 4, 1000)
+			service.Service, service.Disruptions, service.MaxPerWorker = true, 1, 1
+			sim.submit("/u/", job.Submission{ID: "s", Steps: []job.Step{service}})
+			sim.run(sim.now + 2*sim.bounds().MinAvailableTime)
+			running := func() int {
+				n := 0
+				for _, x := range sim.workers {
+					n += len(x.runs)
+				}
+				return n
+			}
+			if n := running(); n != 2 {
+				t.Fatalf("%d tasks run", n)
+			}
+			var vms []string
+			for _, x := range sim.sorted() {
+				vms = append(vms, x.vm)
+			}
+			sim.startWave(1, maxDown, 60*time.Second, vms...)
+			for end := sim.now + 60*time.Second; sim.now < end && !sim.isWaveCompleted(1); {
+				sim.run(sim.now + 20*time.Millisecond)
+				if running() == 0 {
+					t.Fatalf("no task of the service runs at %v", sim.now)
+				}
+			}
+			if !sim.isWaveCompleted(1) {
+				t.Error("the wave is not completed")
+			}
+		})
+	}
+}
