jobs: a new leader counts the VMs that its predecessor has taken down

Cause: which VMs are down was the leader's own knowledge.

Change: a leader that takes over assumes that each VM with a request in the replicated state has just been taken down, unless a later worker is on it.

The fake VM service now checks the limit in all tests of waves.

--- a/coordination/jobs/fake_vms_test.go
+++ b/coordination/jobs/fake_vms_test.go
@@ -46,7 +46,17 @@
 	})
 }
 
+// takeDown starts the maintenance of a VM. It fails the test if too many VMs of the wave are down.
 func (v *fakeVMs) takeDown(sim *simulation, e StartMaintenance) {
+	down := 0
+	for vm, wave := range v.waveOf {
+		if wave == e.Wave && sim.now < v.downUntil[vm] {
+			down++
+		}
+	}
+	if limit := sim.state.Wave(e.Wave).MaxDown; down >= limit {
+		sim.errorf("the maintenance of %s starts while %d VMs of wave %d are down, at most %d may be", e.VM, down, e.Wave, limit)
+	}
 	v.waveOf[e.VM], v.downUntil[e.VM] = e.Wave, sim.now+sim.bounds().MaintenanceTime
 	for _, x := range sim.sorted() {
 		if x.vm == e.VM && !x.stopped {
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -18,7 +18,7 @@
 )
 
 // waves is the state of the maintenance in progress. The maps have names of VMs as keys.
-// Each leader builds this state anew.
+// Each leader builds this state anew from the requests in the replicated state.
 type waves struct {
 	inFlight    map[string]int           // number of the wave, for VMs with a maintenance request in flight
 	downSince   map[string]time.Duration // time at which the VM was taken down, or at which that was requested
@@ -67,6 +67,7 @@
 	}
 	if l.waves.inFlight == nil {
 		l.waves = waves{inFlight: map[string]int{}, downSince: map[string]time.Duration{}, nextAttempt: map[string]time.Duration{}, absentSince: map[string]time.Duration{}}
+		l.takeOverWaves(all)
 	}
 	l.waves.cordoned = map[string]bool{}
 	for _, w := range all {
@@ -76,6 +77,18 @@
 	}
 }
 
+// takeOverWaves assumes that the VMs which an earlier leader has requested maintenance for have just
+// been taken down, unless a later worker is on them.
+func (l *Leader) takeOverWaves(all []*job.Wave) {
+	for _, wave := range all {
+		for _, r := range wave.Requests {
+			if w := l.workerOf(r.VM); w == nil || w.Incarnation == r.Worker {
+				l.waves.downSince[r.VM] = l.now
+			}
+		}
+	}
+}
+
 // advanceWave cordons the next VMs of a wave, and starts maintenance of those that can be
 // taken down now.
 func (l *Leader) advanceWave(wave *job.Wave) {
--- a/coordination/jobs/wave_test.go
+++ b/coordination/jobs/wave_test.go
@@ -114,3 +114,30 @@
 		})
 	}
 }
+
+// Guards against a wave that takes down more VMs at a time than it may after a change of leader: the
+// next leader has not sent the request for the VM that is down.
+func TestNextLeaderCountsTheVMsThatAreDown(t *testing.T) {
+	for _, pause := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(fmt.Sprint("elected after ", pause), func(t *testing.T) {
+			sim := newReadySimulation(t, 35, 6, nil)
+			sim.addVMs()
+			changed := false
+			sim.vms.onStart = func(string) {
+				if changed {
+					return
+				}
+				changed = true
+				sim.after(200*time.Millisecond, func() {
+					sim.endTerm()
+					sim.after(pause, sim.elect)
+				})
+			}
+			sim.startWave(1, 1, 40*time.Second, "vm-w0", "vm-w1", "vm-w2", "vm-w3")
+			sim.run(sim.now + 40*time.Second)
+			if !sim.isWaveCompleted(1) {
+				t.Error("the wave is not completed")
+			}
+		})
+	}
+}
