jobs: service tasks move from a draining worker

Cause: nothing moved the tasks of a draining worker, and its deregistration is no proof that they have ended.

Change: service tasks on a draining worker are stopped and placed elsewhere if another worker has room.

Conclusion: what has to end soon is ended while its end can be proved.

--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -204,6 +204,7 @@
 	l.checkGangs()
 	l.checkProgress()
 	l.advanceWaves()
+	l.evacuateServices()
 	l.pruneJobs()
 	l.logWaiting()
 }
--- a/coordination/jobs/reservation.go
+++ b/coordination/jobs/reservation.go
@@ -77,6 +77,22 @@
 	return kept
 }
 
+// nextPlanned returns the gang with a reservation that is expected to fit first, and the time until
+// then. The name is empty if there is none.
+func (l *Leader) nextPlanned() (gang string, in time.Duration) {
+	var next *reservation
+	for _, s := range l.steps {
+		r := s.reservation
+		if r != nil && (next == nil || cmp.Or(cmp.Compare(r.startsAt, next.startsAt), cmp.Compare(s.ref.String(), next.step.ref.String())) < 0) {
+			next = r
+		}
+	}
+	if next == nil {
+		return "", 0
+	}
+	return next.step.ref.String(), max(0, next.startsAt-l.now)
+}
+
 // mayKeep reports whether the room of a reservation may be kept now.
 func (l *Leader) mayKeep(p *schedulingPass, r *reservation) bool {
 	pool := r.step.queue.Pool
--- a/coordination/jobs/waitinglog.go
+++ b/coordination/jobs/waitinglog.go
@@ -21,6 +21,7 @@
 		return
 	}
 	var steps, gangs, holding, inFlight int
+	plannedFor, plannedIn := l.nextPlanned()
 	highestShare := 0.0
 	for _, share := range l.overload.refusedShare {
 		highestShare = max(highestShare, share)
@@ -49,6 +50,6 @@
 		l.log("info", "waiting", "", "", "waiting work", "steps", steps, "gangs", gangs, "holding", holding, "advice_in_flight", inFlight,
 			"advice_calls", st.adviceRequested, "preempted", st.preempted, "holds_expired", st.holdsExpired, "gangs_assigned", st.gangsAssigned,
 			"order_delay_ms", l.overload.orderDelay.Milliseconds(), "refused", refused,
-			"starts_in_flight", l.starts.inFlight(), "refused_percent", int(100*highestShare))
+			"starts_in_flight", l.starts.inFlight(), "refused_percent", int(100*highestShare), "planned_for", plannedFor, "planned_in_ms", plannedIn.Milliseconds())
 	}
 }
