jobs: the room of a worker is computed once for each candidate

Cause: without a reservation, candidates computed the room of each worker twice. Change: roomBeside starts from the room that is known.

--- a/coordination/jobs/candidate.go
+++ b/coordination/jobs/candidate.go
@@ -35,7 +35,7 @@
 		}
 		if tasksThatFit := l.tasksThatFit(p.free(w), s, w); tasksThatFit > 0 {
 			c := candidate{w: w, tasksThatFit: tasksThatFit, speed: l.speeds.Speed(w.ID), nearData: w.rec.HasLabel(s.spec.DataRack)}
-			beside := l.roomBeside(p, s, w)
+			beside := l.roomBeside(p, s, w, tasksThatFit)
 			if beside > 0 {
 				c.tasksThatFit = beside
 				out = append(out, c)
--- a/coordination/jobs/reservation.go
+++ b/coordination/jobs/reservation.go
@@ -111,13 +111,13 @@
 	return true
 }
 
-// roomBeside returns how many tasks of a step fit on a worker beside those of the gang for which
-// room is planned.
-func (l *Leader) roomBeside(p *schedulingPass, s *step, w *worker) int {
+// roomBeside returns how many of the n tasks of a step that fit on a worker leave the room that is
+// planned for a gang.
+func (l *Leader) roomBeside(p *schedulingPass, s *step, w *worker, n int) int {
 	if p.reservation == nil || p.backfills || p.keepsRoom {
-		return l.tasksThatFit(p.free(w), s, w)
+		return n // the step may use that room, or free has left it out
 	}
-	return l.tasksThatFit(p.free(w).Sub(p.kept[w]), s, w)
+	return min(n, l.tasksThatFit(p.free(w).Sub(p.kept[w]), s, w))
 }
 
 // backfills reports whether a step may use the room that is kept in a pass: its tasks are expected
