jobs: a change of configuration leaves out jobs that have ended

Cause: the steps of a job that has just ended are tracked until their last runs have ended, but the job has no steps any more.

Change: such steps are left out.

--- a/coordination/jobs/reconfigure.go
+++ b/coordination/jobs/reconfigure.go
@@ -11,6 +11,9 @@
 // their tasks are placed again.
 func (l *Leader) configurationApplied() {
 	for _, s := range l.sortedSteps() {
+		if s.job.Phase.Final() {
+			continue // its record may have no steps any more
+		}
 		if q := l.state.QueueOf(s.job); !q.Equal(&s.queue) {
 			l.setQueue(s, q)
 		}
