jobs: a new leader counts every VM of an open wave with a request as down

Cause: a leader that took over left out VMs with a later worker than the one in the request. Such a worker may have been taken down too: it was on the VM when the request was repeated.

Change: all VMs with a request in an open wave count as just taken down. New random histories play waves with lost and late answers beside all faults.

--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -77,14 +77,16 @@
 	}
 }
 
-// takeOverWaves assumes that the VMs which an earlier leader has requested maintenance for have just
-// been taken down, unless a later worker is on them.
+// takeOverWaves assumes that all VMs which an earlier leader has requested maintenance for have just
+// been taken down. When each of them was is not known, nor whether a worker that has started since is
+// still on it.
 func (l *Leader) takeOverWaves(all []*job.Wave) {
 	for _, wave := range all {
+		if wave.Completed() {
+			continue
+		}
 		for _, r := range wave.Requests {
-			if w := l.workerOf(r.VM); w == nil || w.Incarnation == r.Worker {
-				l.waves.downSince[r.VM] = l.now
-			}
+			l.waves.downSince[r.VM] = l.now
 		}
 	}
 }
--- a/coordination/jobs/wave_test.go
+++ b/coordination/jobs/wave_test.go
@@ -141,3 +141,46 @@
 		})
 	}
 }
+
+// Guards against violations of the invariants, and of the limit of VMs that are down, while waves
+// overlap with all faults of the histories, and against waves that are never completed.
+func TestInvariantsHoldWithWaves(t *testing.T) {
+	seeds := uint64(24)
+	if testing.Short() {
+		seeds = 6
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed", 11000+seed), func(t *testing.T) {
+			t.Parallel()
+			var sim *simulation
+			waves := 0
+			runHistory(t, 11000+seed, int(seed%2)*3, func(s *simulation) {
+				sim = s
+				var vms []string
+				for _, x := range sim.sorted() {
+					x.vm = "vm-" + x.id
+					x.startIncarnation(x.id + "v")
+					vms = append(vms, x.vm)
+				}
+				for at := 2 * time.Second; at < 24*time.Second; at += sim.between(2*time.Second, 6*time.Second) {
+					sim.after(at, func() {
+						sim.vms.lostAnswers = sim.rng.IntN(3)
+						sim.vms.answerTime = sim.between(0, time.Second)
+						if !sim.leaderActive {
+							return
+						}
+						waves++
+						sim.rng.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+						n := 1 + sim.rng.IntN(3)
+						sim.startWave(waves, 1+sim.rng.IntN(2), sim.between(3*time.Second, 15*time.Second), append([]string(nil), vms[:n]...)...)
+					})
+				}
+			})
+			for _, w := range sim.state.Waves() {
+				if !w.Completed() {
+					sim.errorf("wave %d is not completed: %+v", w.Number, w)
+				}
+			}
+		})
+	}
+}
