--- a/coordination/jobs/evacuate_test.go
+++ b/coordination/jobs/evacuate_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,29 @@
 		t.Error("the task was stopped")
 	}
 }
+
+// Guards against violations of the invariants while services run beside all faults of the histories:
+// workers drain, restart, are partitioned and replaced, and leaders change.
+func TestInvariantsHoldWithServices(t *testing.T) {
+	seeds := uint64(24)
+	if testing.Short() {
+		seeds = 6
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed", 12000+seed), func(t *testing.T) {
+			t.Parallel()
+			runHistory(t, 12000+seed, int(seed%2)*3, func(sim *simulation) {
+				sim.approvalShare = 1
+				for i := range 3 {
+					service := tasks(3, 2, 1000)
+					service.Service, service.Disruptions, service.MaxPerWorker = true, 1, 1
+					id := job.ID(fmt.Sprint("s", i))
+					sim.after(time.Second, func() { sim.submit("/u/", job.Submission{ID: id, Steps: []job.Step{service}}) })
+					for at := 27 * time.Second; at < 60*time.Second; at += 3 * time.Second { // the leader may be absent
+						sim.after(at, func() { sim.cancelJob(id) })
+					}
+				}
+			})
+		})
+	}
+}
