jobs: a job fails for reduced attempts only while they are in force

Found while the diff was read: the job of a waiting task without an attempt left was noted when a configuration was applied, and failed up to 250 ms later, also if a later configuration allowed more attempts again by then.

Change: the task is noted, and its failures are compared with the configuration in force when the end of the job is proposed.

Measured: TestJobGoesOnWhenItsAttemptsAreRaisedAgain failed before (job a is "failed") and passes now.

--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -75,7 +75,7 @@
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
-	exhaustedJobs     []job.FailJob // jobs with a task that has no attempt left in the configuration in force
+	exhaustedTasks    []job.TaskRef // waiting tasks that have no attempt left in the configuration in force
 	invalidJobs       []job.ID      // stored jobs beyond the limits, which an earlier version accepted
 
 	takingOver        bool // NewLeader is loading the replicated state
--- a/coordination/jobs/reconfigure.go
+++ b/coordination/jobs/reconfigure.go
@@ -41,31 +41,31 @@
 // A configuration may allow fewer attempts than a task that waits has failed already. The task
 // cannot be started any more, so its job has failed.
 
-// findExhausted notes the job of a step if a waiting task of the step has no attempt left. While
-// such a task runs, the step is checked again when its job changes.
+// findExhausted notes the first waiting task of a step that has no attempt left. While such a task
+// runs, the step is checked again when its job changes.
 func (l *Leader) findExhausted(s *step) {
 	s.exhausted = false
-	limit := s.queue.MaxAttempts
 	o := s.job.Occurrence(s.ref.Occurrence)
-	if limit <= 0 || s.spec.Service || o == nil || s.job.Phase.Final() {
+	if s.job.Phase.Final() || s.spec.Service || o == nil {
 		return
 	}
 	for i := range o.Steps[s.ref.Step] {
 		t := &o.Steps[s.ref.Step][i]
-		if t.Status == job.TaskDone || t.Failures < limit {
+		if t.Status == job.TaskDone || !usedAllAttempts(t, &s.queue) {
 			continue
 		}
 		s.exhausted = true
 		if t.Status == job.TaskWaiting && t.Worker == "" {
-			l.exhaustedJobs = append(l.exhaustedJobs, failJob(s, i, t.Failures, limit))
+			l.exhaustedTasks = append(l.exhaustedTasks, job.TaskRef{StepRef: s.ref, Index: i})
 			return
 		}
 	}
 }
 
-func failJob(s *step, task, failures, limit int) job.FailJob {
-	ref := job.TaskRef{StepRef: s.ref, Index: task}
-	return job.FailJob{Job: s.ref.Job, Reason: fmt.Sprintf("task %s failed %d times, queue %s allows %d", ref, failures, s.queue.Name, limit)}
+// usedAllAttempts reports whether a task, other than that of a service, has failed as often as its
+// queue allows.
+func usedAllAttempts(t *job.Task, q *job.Queue) bool {
+	return q.MaxAttempts > 0 && t.Failures >= q.MaxAttempts
 }
 
 // recheckExhausted checks the steps of a changed job again whose tasks had no attempt left while
@@ -80,19 +80,23 @@
 	}
 }
 
-// failExhausted proposes to fail the jobs that have a task without an attempt left.
+// failExhausted proposes to fail the jobs that have a task without an attempt left, unless a later
+// configuration allows more attempts again. A leader that takes over finds such tasks as well.
 func (l *Leader) failExhausted() {
-	list := l.exhaustedJobs
-	l.exhaustedJobs = nil
-	for _, c := range list {
-		j := l.state.Job(c.Job)
+	list := l.exhaustedTasks
+	l.exhaustedTasks = nil
+	for _, ref := range list {
+		j := l.state.Job(ref.Job)
 		if j == nil || j.Phase.Final() {
 			continue
 		}
-		c.AtMS = l.wallMS
-		ok := l.propose(&job.Command{FailJob: &c}, nil) // a leader that takes over finds the task as well
-		if !ok {
-			l.exhaustedJobs = append(l.exhaustedJobs, c)
+		t, q := j.Task(ref), l.state.QueueOf(j)
+		if t == nil || !usedAllAttempts(t, &q) {
+			continue
+		}
+		reason := fmt.Sprintf("task %s failed %d times, queue %s allows %d", ref, t.Failures, q.Name, q.MaxAttempts)
+		if !l.propose(&job.Command{FailJob: &job.FailJob{Job: ref.Job, AtMS: l.wallMS, Reason: reason}}, nil) {
+			l.exhaustedTasks = append(l.exhaustedTasks, ref)
 		}
 	}
 }
--- a/coordination/jobs/reconfigure_test.go
+++ b/coordination/jobs/reconfigure_test.go
@@ -269,3 +269,25 @@
 	sim.handle(Configure{Token: sim.token, Configuration: c})
 	sim.reconfiguredAt = sim.now
 }
+
+// Guards against a job that is shown as failed although its attempts were raised again before it was:
+// two operators change the configuration shortly after each other.
+func TestJobGoesOnWhenItsAttemptsAreRaisedAgain(t *testing.T) {
+	sim := newReadySimulation(t, 68, 1, nil)
+	x := sim.workers["w0:1"]
+	x.failShare = 1
+	sim.submit("/b/", job.Submission{ID: "a", Steps: []job.Step{tasks(1, 2, 300)}})
+	for sim.now < 10*time.Second && len(sim.failedRuns) == 0 {
+		sim.run(sim.now + 10*time.Millisecond)
+	}
+	x.failShare = 0
+	sim.submit("/u/", job.Submission{ID: "filler", Steps: []job.Step{tasks(1, 16, 3000)}})
+	for sim.now < 20*time.Second && sim.state.Job("a").Occurrence(0).Steps[0][0].Failures < 1 {
+		sim.run(sim.now + 10*time.Millisecond)
+	}
+	sim.leader.nextPeriodicCheck = sim.now + periodicCheckInterval // the job is not failed before the second change
+	sim.reconfigure(func(c *job.Configuration) { c.Queues[1].MaxAttempts = 1 })
+	sim.reconfigure(func(c *job.Configuration) { c.Queues[1].MaxAttempts = 3 })
+	sim.run(sim.now + 15*time.Second)
+	sim.expectPhase(job.Completed, "a")
+}
