--- a/coordination/jobs/latestart.go
+++ b/coordination/jobs/latestart.go
@@ -13,7 +13,7 @@
 
 // lateStart is a start that was not answered and whose run has ended since. The incarnation that
 // ended the run rejects the start. The next one under the same ID does not know the run, so it is
-// told to reject it.
+// instructed to reject it.
 type lateStart struct {
 	ref         job.TaskRef
 	run         int
@@ -27,7 +27,7 @@
 type lateStarts map[string][]*lateStart
 
 // add notes the start of a run that has ended on an incarnation of a worker, if it may still be
-// under way. That incarnation rejects it without being told.
+// under way. That incarnation rejects it without an instruction.
 func (m *lateStarts) add(now time.Duration, w job.Incarnation, r *run) {
 	if !r.unanswered {
 		return
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -123,7 +123,7 @@
 	Checkpoint string     `json:"checkpoint,omitempty"` // checkpoint from which the next run starts
 
 	// FailedRun is the number of the last run whose failure was counted, 0 if none or not known.
-	// No command depends on it. It tells a leader which failures of a gang were counted.
+	// No command depends on it. A leader reads from it which failures of a gang were counted.
 	FailedRun int `json:"failed_run,omitempty"`
 }
 
