jobs: a gang asks about free workers, and renews tickets in the same call

Cause: queryForGang asked about further workers only if the room expected on those without a verdict was enough for the whole gang. Free room on workers that may run the gang did not count, and of the others only those that one call names. With few workers approved the gang waited until nearly all workers of its first calls were free at the same moment.

Change: free room on known workers and expected room on all others count together. The call renews the tickets of the former, and names workers for a fifth more tasks than are missing, so that the gang starts with its answer.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -156,25 +156,49 @@
 }
 
 // queryForGang asks about workers without a verdict for a gang that lacks room on the workers
-// that are known to be allowed to run it. It asks only if those have too little room even
-// when they are idle, or if the room that is free on the others is expected to suffice:
-// calls for long jobs take most of a second, and other steps wait for them.
+// that are known to be allowed to run it. It asks only if the room that is free on those and the
+// room that is expected on the others suffice together, or if those have too little room even when
+// they are idle: calls for long jobs take most of a second, and other steps wait for them. In the
+// first case the call renews the tickets of the workers with room as well, if it can name all of
+// them, since the new tickets would expire during a second call.
 func (l *Leader) queryForGang(p *schedulingPass, s *step, need int) {
 	if s.queue.Advice == nil || s.advice.inFlight || l.now < s.advice.nextRequest {
 		return
 	}
 	s.advice.nextRequest = l.now + noRequestInterval
-	unknown := l.workersToQuery(p, s, need)
-	if len(unknown) == 0 {
-		return
+	var ask []string
+	switch approved, unknown := l.freeRoom(p, s); {
+	case approved < need && float64(approved)+l.approval(s.queue.Name).value()*float64(unknown) >= float64(need):
+		// The spare room makes up for workers that are not approved: another call takes a second.
+		missing := need - approved + need/spareShare + 1
+		ask = l.workersToQuery(p, s, missing)
+		if renew := l.workersToRenew(p, s, need); len(renew)+len(ask) <= maxRequestWorkers {
+			ask = append(ask, renew...)
+		}
+	case l.roomWhenIdle(p, s) < need:
+		ask = l.workersToQuery(p, s, need)
 	}
-	free := 0
-	for _, id := range unknown {
-		free += l.tasksThatFit(p.free(l.workers[id]), s, l.workers[id])
+	if len(ask) > 0 {
+		l.sendAdviceRequest(s, ask)
 	}
-	if l.roomWhenIdle(p, s) < need || l.approval(s.queue.Name).value()*float64(free) >= float64(need) {
-		l.sendAdviceRequest(s, unknown)
+}
+
+// freeRoom returns how many tasks of a step fit into what is free on the workers that are known to
+// be allowed to run it, and on those without a verdict.
+func (l *Leader) freeRoom(p *schedulingPass, s *step) (approved, unknown int) {
+	for _, w := range p.usable {
+		if !matchesWorker(s, w) {
+			continue
+		}
+		v, asked := s.advice.verdicts[w.ID]
+		switch {
+		case !asked || v.startedMS != w.StartedMS:
+			unknown += l.tasksThatFit(p.free(w), s, w)
+		case v.approved:
+			approved += l.tasksThatFit(l.freeAfterPendingStops(p, w), s, w)
+		}
 	}
+	return approved, unknown
 }
 
 // workersToRenew returns approved workers with room for waiting tasks of the step, until
