jobs: a gang on more than 100 workers renews its tickets in several calls

Callers would see: a gang on more than 100 workers that has had to wait is never started (LOST).

Cause: the advice service accepts at most 100 workers in a call, and holdForGang gave up if it needed the tickets of more. Nothing else renews a gang's tickets once its known workers have enough room.

Change: a hold names the workers whose tickets the next calls renew, and each awaited answer sends the next call. A gang whose calls would outlast its first tickets holds nothing, as before (renewsInTime).

Gangs on up to 100 workers take the same path as before.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -33,7 +33,7 @@
 	// the leader more time for the message than the choice is worth.
 	cheapPerWorkerMS    = 0.3
 	cheapRequestWorkers = 30
-	// maxRequestWorkers bounds the number of workers in one call.
+	// maxRequestWorkers bounds the number of workers in one call. The service accepts no more.
 	maxRequestWorkers = 100
 )
 
@@ -290,14 +290,18 @@
 	return g
 }
 
+// callTime returns how long the advice service takes for a call that names a number of workers.
+func callTime(a *job.Advice, workers int) time.Duration {
+	return time.Duration((a.PerCallMS + a.PerWorkerMS*float64(workers)) * float64(time.Millisecond))
+}
+
 // sendAdviceRequest sends a request through the agent that is free first. It reports false if
 // no agent is free soon enough.
 func (l *Leader) sendAdviceRequest(s *step, workers []string) bool {
 	if len(workers) > maxRequestWorkers {
 		workers = workers[:maxRequestWorkers]
 	}
-	a := s.queue.Advice
-	cost := time.Duration((a.PerCallMS + a.PerWorkerMS*float64(len(workers))) * float64(time.Millisecond))
+	cost := callTime(s.queue.Advice, len(workers))
 	agent := l.agents.pick(l.now, cost)
 	if agent == nil {
 		s.advice.nextRequest = l.now + adviceRetry
@@ -343,13 +347,14 @@
 	if s == nil || s.queue.Advice == nil {
 		return
 	}
-	if s.awaits(&e.Request) {
+	awaited := s.awaits(&e.Request)
+	if awaited {
 		s.advice.inFlight, s.advice.nextRequest = false, l.now+adviceInterval
 	}
 	l.storeAdvice(s, &e)
 	s.advice.isNew = true
-	if s.hold != nil {
-		s.hold.until = s.ticketsValidUntil(s.hold.tasks)
+	if s.hold != nil && awaited {
+		l.ticketsRenewed(s)
 	}
 	l.needsSchedule = true
 }
--- a/coordination/jobs/gangroom_test.go
+++ b/coordination/jobs/gangroom_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// Guards against a gang on more workers than one call for advice can name that waits for as long as
+// its job lasts, since its tickets are not renewed together.
+func TestGangOnMoreWorkersThanOneCallNames(t *testing.T) {
+	sim := newGangRoomSimulation(t, 77, 200)
+	sim.submit("/u/", job.Submission{ID: "fill", Steps: []job.Step{sized(200, 60, 240_000, 200_000, false)}})
+	sim.run(sim.now + 8*time.Second)
+	sim.submit("/u/", job.Submission{ID: "gang", Steps: []job.Step{sized(maxRequestWorkers+30, 40, 67_000, 5000, true)}})
+	sim.run(sim.now + 12*time.Second)
+	sim.cancelJob("fill")
+	if d := sim.startedAfter("gang", 20*time.Second); d > gangLimit {
+		t.Errorf("the gang is started after %v", d)
+	}
+}
+
 // newGangRoomSimulation returns a simulation of workers of 64 cores and 256 GB, and of calls for
 // advice that take about a second.
 func newGangRoomSimulation(t *testing.T, seed uint64, workers int) *simulation {
--- a/coordination/jobs/hold.go
+++ b/coordination/jobs/hold.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/primrosereach/primrosereach/state/job"
 	"github.com/primrosereach/primrosereach/state/resource"
 )
 
@@ -18,6 +19,7 @@
 type hold struct {
 	tasks map[string]int // number of tasks by worker ID
 	until time.Duration  // expiry
+	renew []string       // IDs of the workers whose tickets the next calls are to renew
 }
 
 const (
@@ -52,7 +54,7 @@
 
 // setHold holds capacity for a step until a time, and for the rest of the pass.
 func (l *Leader) setHold(p *schedulingPass, s *step, tasks map[string]int, until time.Duration) {
-	s.hold = &hold{tasks, until}
+	s.hold = &hold{tasks: tasks, until: until}
 	l.holding[s.ref] = s
 	p.addHold(l, s)
 }
@@ -84,8 +86,8 @@
 
 // holdForGang holds room for all need waiting tasks of a gang on workers that may run it,
 // preempts tasks of lower priority if that is necessary, and renews the tickets of these
-// workers. It reports false, and changes nothing, if there is not enough room, if the tickets
-// cannot be renewed now, or if one call cannot name all workers whose tickets are needed.
+// workers. It reports false, and changes nothing, if there is not enough room, or if the tickets
+// cannot be renewed now, or not all before the first of them expire.
 func (l *Leader) holdForGang(p *schedulingPass, s *step, need int) bool {
 	chosen := l.chooseRoom(p, s, need+need/spareShare+1)
 	if chosen == nil {
@@ -100,6 +102,7 @@
 		preempts = preempts || c.take > c.tasksThatFit
 	}
 	until := l.now + stopWait
+	var rest []string
 	if s.queue.Advice != nil {
 		if validUntil := s.ticketsValidUntil(tasks); validUntil-l.now >= minTicketTime {
 			until = validUntil
@@ -108,13 +111,16 @@
 			for _, c := range chosen {
 				ids = append(ids, c.w.ID)
 			}
-			if len(ids) > maxRequestWorkers || !l.sendAdviceRequest(s, ids) {
+			n := min(len(ids), maxRequestWorkers)
+			rest = ids[n:]
+			if !renewsInTime(s.queue.Advice, len(rest)) || !l.sendAdviceRequest(s, ids[:n]) {
 				return false
 			}
 			until = s.advice.answerDeadline
 		}
 	}
 	l.setHold(p, s, tasks, until)
+	s.hold.renew = rest
 	if preempts {
 		for _, c := range chosen {
 			l.stopVictims(p, s, c)
@@ -123,6 +129,33 @@
 	return true
 }
 
+// renewsInTime reports whether the calls that renew the tickets of a number of workers end before
+// tickets that are issued now expire.
+func renewsInTime(a *job.Advice, workers int) bool {
+	left := time.Duration(a.ValidMS)*time.Millisecond - ticketMargin
+	for workers > 0 {
+		n := min(workers, maxRequestWorkers)
+		left -= callTime(a, n) + maxAgentBacklog
+		workers -= n
+	}
+	return left > 0
+}
+
+// ticketsRenewed handles the answer to a call that renewed tickets of workers on which a gang holds
+// room. It renews those of the other workers, or else keeps the room until the tickets expire.
+func (l *Leader) ticketsRenewed(s *step) {
+	h := s.hold
+	n := min(len(h.renew), maxRequestWorkers)
+	next := h.renew[:n]
+	h.renew = h.renew[n:]
+	isAbsent := func(id string) bool { return l.workers[id] == nil }
+	if n == 0 || slices.ContainsFunc(next, isAbsent) || !l.sendAdviceRequest(s, next) {
+		h.until = s.ticketsValidUntil(h.tasks)
+		return
+	}
+	h.until = s.advice.answerDeadline
+}
+
 // ticketsValidUntil returns the time until which the step has a valid ticket for each of the
 // workers.
 func (s *step) ticketsValidUntil(tasks map[string]int) time.Duration {
