jobs: keys, limits and shares of teams

Change: the configuration names teams with digests of keys, weights and limits. The leader authenticates each call; state/job counts what each team may have running, and the limit is checked when tasks are chosen and when the assignment is applied. Jobs beyond a team's rate use idle capacity or are refused with a Retry-After of the team's own. Without teams in the configuration nothing changes.

--- a/coordination/jobs/calls.go
+++ b/coordination/jobs/calls.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
@@ -40,8 +41,15 @@
 	if q == nil {
 		return
 	}
+	team, ok := l.authenticate(e.Token, q, e.Credential)
+	if !ok {
+		return
+	}
 	e.Submission.ID = id
 	if j := l.state.Job(id); j != nil {
+		if !l.authorize(e.Token, team, j) {
+			return
+		}
 		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase}) // the submission was sent again
 		return
 	}
@@ -49,14 +57,26 @@
 		l.host.Reply(e.Token, Answer{Code: CodeInvalid, Message: err.Error()})
 		return
 	}
+	if i, exceeds := l.exceedsTeamLimit(team, &e.Submission); exceeds {
+		l.host.Reply(e.Token, Answer{Code: CodeInvalid, Message: fmt.Sprintf("step %d needs more than the limit of team %s", i, team)})
+		return
+	}
 	if l.submitting[id] == 0 && l.overload.refuses(id, q.Name, l.wallMS) {
 		l.overload.refused++
 		l.host.Reply(e.Token, Answer{Code: CodeRefused, Message: "the leader does not keep up with its work", RetryAfter: retryRefused})
 		return
 	}
-	cmd := &job.Command{Submit: &job.Submit{Submission: e.Submission, Queue: q.Name, AtMS: l.wallMS}}
+	borrowed := false
+	if l.submitting[id] == 0 {
+		var wait time.Duration
+		if borrowed, ok, wait = l.admit(team, q); !ok {
+			l.host.Reply(e.Token, Answer{Code: CodeRefused, Message: "team " + team + " submits more than its share while no capacity is idle", RetryAfter: wait})
+			return
+		}
+	}
+	cmd := &job.Command{Submit: &job.Submit{Submission: e.Submission, Queue: q.Name, Team: team, Borrowed: borrowed, AtMS: l.wallMS}}
 	l.submitting[id]++
-	ok := l.propose(cmd, func(_ job.Applied, committed bool) {
+	ok = l.propose(cmd, func(_ job.Applied, committed bool) {
 		l.submitted(id)
 		j := l.state.Job(id)
 		switch {
@@ -86,6 +106,10 @@
 	if q == nil {
 		return
 	}
+	team, ok := l.authenticate(e.Token, q, e.Credential)
+	if !ok {
+		return
+	}
 	if id == "" {
 		n := 0
 		for _, name := range l.queued {
@@ -101,7 +125,9 @@
 		l.host.Reply(e.Token, Answer{Code: CodeNoJob, Message: "no such job"})
 		return
 	}
-	l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
+	if l.authorize(e.Token, team, j) {
+		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
+	}
 }
 
 func (l *Leader) cancel(e Cancel) {
@@ -109,16 +135,22 @@
 	if q == nil {
 		return
 	}
+	team, ok := l.authenticate(e.Token, q, e.Credential)
+	if !ok {
+		return
+	}
 	j := l.state.Job(id)
 	switch {
 	case j == nil:
 		l.host.Reply(e.Token, Answer{Code: CodeNoJob, Message: "no such job"})
 		return
+	case !l.authorize(e.Token, team, j):
+		return
 	case j.Phase.Final():
 		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
 		return
 	}
-	ok := l.propose(&job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, func(_ job.Applied, committed bool) {
+	ok = l.propose(&job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, func(_ job.Applied, committed bool) {
 		if !committed {
 			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"})
 			return
@@ -149,7 +181,7 @@
 			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the configuration was being stored"})
 			return
 		}
-		l.log("info", "configure", "", "", "a configuration was stored", "version", c.Version, "in_force", l.state.Configuration().Version, "queues", len(c.Queues))
+		l.log("info", "configure", "", "", "a configuration was stored", "version", c.Version, "in_force", l.state.Configuration().Version, "queues", len(c.Queues), "teams", len(c.Teams))
 		l.host.Reply(e.Token, Answer{Code: CodeOK})
 	})
 	if !ok {
--- a/coordination/jobs/effect.go
+++ b/coordination/jobs/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/primrosereach/primrosereach/state/job"
+	"github.com/primrosereach/primrosereach/state/resource"
 )
 
 // Effect is an action that the leader requests from its Host.
@@ -89,6 +90,22 @@
 	}
 )
 
+// TeamReport records the use of all teams.
+type TeamReport struct{ Teams []TeamUsage }
+
+// TeamUsage is the use of one team, with the decisions since the last report.
+type TeamUsage struct {
+	Team         string
+	Usage, Limit resource.Amount
+	Weight       float64
+	WaitingSteps int
+	Accepted     int // jobs
+	Borrowed     int // accepted jobs beyond the team's rate
+	Refused      int // jobs
+	Preempted    int // runs
+}
+
+func (TeamReport) jobEffect()       {}
 func (StartRun) jobEffect()         {}
 func (StopRun) jobEffect()          {}
 func (PaceRun) jobEffect()          {}
--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -19,22 +19,25 @@
 		Token      Token
 		Host       string
 		Path       string
+		Credential Credential
 		Submission job.Submission // Handle sets the submission's ID to the part of Path after the queue's own path
 	}
 
 	// Lookup requests the phase of a job, or the number of waiting jobs of a queue if the
 	// path names no job.
 	Lookup struct {
-		Token Token
-		Host  string
-		Path  string
+		Token      Token
+		Host       string
+		Path       string
+		Credential Credential
 	}
 
 	// Cancel cancels a job.
 	Cancel struct {
-		Token Token
-		Host  string
-		Path  string
+		Token      Token
+		Host       string
+		Path       string
+		Credential Credential
 	}
 
 	// Configure puts a configuration in force.
@@ -236,7 +239,7 @@
 type Answer struct {
 	Code          Code
 	Message       string
-	RetryAfter    time.Duration      // delay before a retry, for CodeUnavailable
+	RetryAfter    time.Duration      // delay before a retry, for CodeUnavailable and CodeRefused
 	Phase         job.Phase          // phase of the job, for Submit, Lookup and Cancel
 	Waiting       int                // number of jobs that wait in the queue, for Lookup
 	Configuration *job.Configuration // for ReadConfiguration
@@ -249,11 +252,13 @@
 
 // Codes of answers.
 const (
-	CodeOK          Code = "ok"
-	CodeInvalid     Code = "invalid"     // the input is wrong; nothing was done
-	CodeNoQueue     Code = "no_queue"    // no queue has this host and path
-	CodeNoJob       Code = "no_job"      // no such job
-	CodeRefused     Code = "refused"     // the job was not accepted and never runs
-	CodeUnavailable Code = "unavailable" // nothing was done; a retry may succeed
-	CodeUnknown     Code = "unknown"     // the outcome is unknown; the call may take effect
+	CodeOK              Code = "ok"
+	CodeInvalid         Code = "invalid"         // the input is wrong; nothing was done
+	CodeNoQueue         Code = "no_queue"        // no queue has this host and path
+	CodeNoJob           Code = "no_job"          // no such job
+	CodeUnauthenticated Code = "unauthenticated" // the key is missing or unknown; nothing was done
+	CodeForbidden       Code = "forbidden"       // the job belongs to another team; nothing was done
+	CodeRefused         Code = "refused"         // the job was not accepted and never runs
+	CodeUnavailable     Code = "unavailable"     // nothing was done; a retry may succeed
+	CodeUnknown         Code = "unknown"         // the outcome is unknown; the call may take effect
 )
--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -157,6 +157,7 @@
 		r.workingSince = x.sim.now
 	}
 	x.runs[e.TaskRef] = r
+	x.sim.checkTeamLimit(e.Job)
 	x.sim.highestStart[e.TaskRef] = max(x.sim.highestStart[e.TaskRef], e.Run)
 	return OrderDone
 }
--- a/coordination/jobs/gang.go
+++ b/coordination/jobs/gang.go
@@ -11,6 +11,12 @@
 // all of them and renews the tickets, or else learns which other workers may run the gang. It
 // reports whether the gang was assigned.
 func (l *Leader) placeGang(p *schedulingPass, s *step, waiting []int) bool {
+	if l.tasksWithinLimit(s, len(waiting)) < len(waiting) {
+		l.dropHold(s)
+		s.reservation, s.lastTry = nil, atTeamLimit
+		p.limitedTeams[s.job.Team] = true
+		return true
+	}
 	p.placing = s
 	defer func() { p.placing = nil }()
 	if items := l.planGang(p, s, waiting); items != nil {
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -72,7 +72,8 @@
 	starts            startWindow
 	relays            relays
 	lateStarts        lateStarts
-	earlierStartsEnd  time.Duration  // time from which no worker executes a start of an earlier leader
+	earlierStartsEnd  time.Duration // time from which no worker executes a start of an earlier leader
+	teams             teamLedger
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
@@ -95,7 +96,7 @@
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, keptIdle: map[string]keptIdle{},
 		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
 		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
-		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), relays: newRelays(),
+		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), teams: newTeamLedger(), relays: newRelays(),
 		earlierStartsEnd: now + lateStartTime, needsSchedule: true, takingOver: true,
 	}
 	for _, w := range st.Workers() {
@@ -196,6 +197,8 @@
 func (l *Leader) runPeriodicChecks() {
 	l.needsSchedule = true
 	l.overload.decay()
+	l.updateBusyPools()
+	l.reportTeams()
 	l.saveSpeeds()
 	l.removeAbsentWorkers()
 	l.removeInvalidRecords()
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -257,7 +257,7 @@
 	if j := sim.state.Job(id); j != nil && j.Queue == "batch" {
 		path = "/b/"
 	}
-	sim.handle(Cancel{Token: token, Host: "h", Path: path + string(id)})
+	sim.handle(Cancel{Token: token, Host: "h", Path: path + string(id), Credential: sim.credentialOf(id)})
 	sim.after(100*time.Millisecond, func() {
 		if a, ok := sim.answers[token]; ok && a.Code == CodeOK && a.Phase == job.Cancelled {
 			sim.cancelledAt[id] = sim.now
--- a/coordination/jobs/pass.go
+++ b/coordination/jobs/pass.go
@@ -10,21 +10,22 @@
 // schedulingPass is one pass over the waiting steps. The usable workers are determined once
 // for all steps.
 type schedulingPass struct {
-	reservation *reservation                // room that is planned for an earlier gang that lacks room, nil for none
-	kept        map[*worker]resource.Amount // free capacity that the gang needs, for tasks that run beyond its start
-	plans       int                         // number of gangs for which a reservation was planned
-	keepsRoom   bool                        // other steps must leave that room free; otherwise they use it last
-	backfills   bool                        // the step that is being tried may use that room
-	shares      poolShares                  // computed on demand
-	held        map[*worker][]heldAmount    // capacity held for gangs
-	placing     *step                       // gang that is being placed, which can use what is held for it
-	usable      []*worker                   // sorted by ID
-	runs        map[*worker]*workerRuns     // computed on demand
-	maxFree     resource.Amount             // largest free amount of each resource on any usable worker, holds included
+	reservation  *reservation                // room that is planned for an earlier gang that lacks room, nil for none
+	kept         map[*worker]resource.Amount // free capacity that the gang needs, for tasks that run beyond its start
+	plans        int                         // number of gangs for which a reservation was planned
+	keepsRoom    bool                        // other steps must leave that room free; otherwise they use it last
+	backfills    bool                        // the step that is being tried may use that room
+	shares       poolShares                  // computed on demand
+	held         map[*worker][]heldAmount    // capacity held for gangs
+	placing      *step                       // gang that is being placed, which can use what is held for it
+	usable       []*worker                   // sorted by ID
+	runs         map[*worker]*workerRuns     // computed on demand
+	limitedTeams map[string]bool             // teams whose limit lacks room for a gang that comes before other work of the team
+	maxFree      resource.Amount             // largest free amount of each resource on any usable worker, holds included
 }
 
 func (l *Leader) newPass() *schedulingPass {
-	p := &schedulingPass{shares: poolShares{}, held: map[*worker][]heldAmount{}, runs: map[*worker]*workerRuns{}}
+	p := &schedulingPass{shares: poolShares{}, held: map[*worker][]heldAmount{}, runs: map[*worker]*workerRuns{}, limitedTeams: map[string]bool{}}
 	for _, w := range l.byID {
 		if l.usable(w) && !l.waves.isCordoned(w.rec.VM) {
 			p.usable = append(p.usable, w)
@@ -58,6 +59,8 @@
 	*step
 	missesDeadline int  // 1 if the step comes last, since the job cannot be done by its deadline, else 0
 	late           bool // the step comes after work in time, since the job cannot be done by its objective
+	borrowed       bool // the step comes after all work that was accepted at the rate of its team
+	overShare      bool // the step comes after the work of other teams, since its team uses more than its share
 }
 
 // Bounds of one pass. A step that cannot be placed in full costs a search through many workers,
@@ -114,6 +117,10 @@
 	if len(list) == 0 {
 		return nil
 	}
+	over := l.teamsOverShare(list)
+	for i := range list {
+		list[i].overShare = over[list[i].job.Team]
+	}
 	slices.SortFunc(list, compareWaiting)
 	l.nextSchedule = l.now + min(maxScheduleInterval, scheduleInterval+time.Duration(len(list))*scheduleTimePerStep)
 	p := l.newPass()
@@ -202,7 +209,7 @@
 			if late && s.spec.Gang && shares.of(l, s.queue.Pool).highest < lateGangShare {
 				missesDeadline, late = 0, false
 			}
-			list = append(list, waitingStep{s, missesDeadline, late})
+			list = append(list, waitingStep{step: s, missesDeadline: missesDeadline, late: late, borrowed: s.job.Borrowed})
 		}
 	}
 	return list
--- a/coordination/jobs/place.go
+++ b/coordination/jobs/place.go
@@ -11,6 +11,13 @@
 // placeTasks assigns as many waiting tasks as fit, and requests advice for the rest. It
 // reports whether all fit.
 func (l *Leader) placeTasks(p *schedulingPass, s *step, waiting []int) bool {
+	waiting = waiting[:l.tasksWithinLimit(s, len(waiting))]
+	// Small tasks would otherwise use up the room that a gang of the same team waits for.
+	isBehindGang := p.limitedTeams[s.job.Team] && !s.spec.Service
+	if len(waiting) == 0 || isBehindGang {
+		s.lastTry = atTeamLimit
+		return true
+	}
 	items := l.planTasks(p, s, waiting)
 	rest := waiting[len(items):]
 	if len(items) > 0 {
@@ -68,7 +75,9 @@
 func (l *Leader) assign(s *step, items []job.Assignment) {
 	need := s.spec.Reserved()
 	l.starts.committing += len(items)
+	l.addPending(s.job.Team, need.Scale(len(items)))
 	releasePending := func() {
+		l.addPending(s.job.Team, need.Scale(-len(items)))
 		l.starts.committing -= len(items)
 		for _, it := range items {
 			delete(s.pendingAssignments, it.Index)
--- a/coordination/jobs/preempt.go
+++ b/coordination/jobs/preempt.go
@@ -74,7 +74,8 @@
 func (l *Leader) victims(p *schedulingPass, s *step, w *worker) []*run {
 	var out []*run
 	for _, r := range l.runsOf(p, w).preemptible {
-		if l.steps[r.ref.StepRef].queue.Priority > s.queue.Priority {
+		victim := l.steps[r.ref.StepRef]
+		if victim.queue.Priority > s.queue.Priority || victim.job.Borrowed && !s.job.Borrowed {
 			out = append(out, r)
 		}
 	}
@@ -93,6 +94,7 @@
 		free = free.Add(victim.spec.Reserved())
 		victim.preempted[r.ref.Index]++
 		l.waitingStats.preempted++
+		l.countsOf(victim.job.Team).preempted++
 		l.stopRun(c.w, r, "preempted by "+s.ref.String())
 	}
 }
--- a/coordination/jobs/reconfigure.go
+++ b/coordination/jobs/reconfigure.go
@@ -10,6 +10,7 @@
 // Assignments that were proposed under the earlier one are rejected when they are applied, and
 // their tasks are placed again.
 func (l *Leader) configurationApplied() {
+	l.teamsChanged()
 	for _, s := range l.sortedSteps() {
 		if s.job.Phase.Final() {
 			continue // its record may have no steps any more
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -69,6 +69,8 @@
 	// checked, 0 for 1. The check takes time in proportion to the number of jobs.
 	stateCheckInterval uint64
 
+	teamOf func(id job.ID) string // team that submits a job, nil if the configuration has no teams
+
 	entries    messageQueue // proposals that wait for the next append
 	bounds     Bounds
 	leaderTime time.Duration // real time that the leader's decisions have taken
@@ -272,7 +274,7 @@
 func (sim *simulation) submit(path string, s job.Submission) Token {
 	sim.token++
 	sim.specs[s.ID] = s
-	sim.handle(Submit{Token: sim.token, Host: "h", Path: path + string(s.ID), Submission: s})
+	sim.handle(Submit{Token: sim.token, Host: "h", Path: path + string(s.ID), Credential: sim.credentialOf(s.ID), Submission: s})
 	return sim.token
 }
 
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -339,7 +339,8 @@
 	return s.job.FinishedOccurrences[s.ref.Occurrence] || o != nil && o.Open[s.ref.Step] == 0
 }
 
-// compareWaiting orders waiting steps. Jobs that cannot meet their deadline come last. Next
+// compareWaiting orders waiting steps. Jobs that cannot meet their deadline come last, before them
+// those that were accepted beyond the rate of their team, and those of teams over their share. Next
 // in order are the priority of the queue, whether the job can still be done by its objective,
 // and that time, so that long jobs do not starve. Without the third, a queue that has fallen
 // behind once runs only late jobs from then on: those that have just arrived wait until they
@@ -348,6 +349,12 @@
 	if c := cmp.Compare(a.missesDeadline, b.missesDeadline); c != 0 {
 		return c
 	}
+	if c := compareBool(a.borrowed, b.borrowed); c != 0 {
+		return c
+	}
+	if c := compareBool(a.overShare, b.overShare); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(a.queue.Priority, b.queue.Priority); c != 0 {
 		return c
 	}
--- a/coordination/jobs/waitinglog.go
+++ b/coordination/jobs/waitinglog.go
@@ -81,6 +81,7 @@
 	noAgent          placementOutcome = "no process is free for a call for advice"
 	ticketsTooLate   placementOutcome = "the tickets cannot be renewed in time"
 	nextCallNotDue   placementOutcome = "the next call for advice is not due yet"
+	atTeamLimit      placementOutcome = "the team is at its limit"
 	assignmentFailed placementOutcome = "the assignment was not committed"
 )
 
--- a/protocol/job.go
+++ b/protocol/job.go
@@ -30,6 +30,7 @@
 type jobCall struct {
 	Host         string             `json:"host,omitempty"`
 	Path         string             `json:"path,omitempty"`
+	Credential   jobs.Credential    `json:"credential,omitzero"`
 	Submission   *job.Submission    `json:"submission,omitempty"`
 	Config       *job.Configuration `json:"config,omitempty"`
 	Wave         *job.Wave          `json:"wave,omitempty"`
@@ -51,11 +52,11 @@
 	var c jobCall
 	switch e := ev.(type) {
 	case jobs.Submit:
-		name, c = OpJobSubmit, jobCall{Host: e.Host, Path: e.Path, Submission: &e.Submission}
+		name, c = OpJobSubmit, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
 	case jobs.Lookup:
-		name, c = OpJobLookup, jobCall{Host: e.Host, Path: e.Path}
+		name, c = OpJobLookup, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential}
 	case jobs.Cancel:
-		name, c = OpJobCancel, jobCall{Host: e.Host, Path: e.Path}
+		name, c = OpJobCancel, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential}
 	case jobs.Configure:
 		name, c = OpJobConfigure, jobCall{Config: &e.Configuration}
 	case jobs.ReadConfiguration:
@@ -93,11 +94,11 @@
 		if c.Submission == nil {
 			return nil, missing
 		}
-		return jobs.Submit{Token: t, Host: c.Host, Path: c.Path, Submission: *c.Submission}, nil
+		return jobs.Submit{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission}, nil
 	case OpJobLookup:
-		return jobs.Lookup{Token: t, Host: c.Host, Path: c.Path}, nil
+		return jobs.Lookup{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential}, nil
 	case OpJobCancel:
-		return jobs.Cancel{Token: t, Host: c.Host, Path: c.Path}, nil
+		return jobs.Cancel{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential}, nil
 	case OpJobConfigure:
 		if c.Config == nil {
 			return nil, missing
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -66,6 +66,7 @@
 	}
 	s.config = *c
 	s.queues = s.config.index()
+	s.teams = indexTeams(s.config.Teams)
 	return Applied{}
 }
 
@@ -77,7 +78,7 @@
 	if s.queues.byName[c.Queue] == nil {
 		return rejected("queue %s is not configured", c.Queue)
 	}
-	j := &Job{Submission: c.Submission, Queue: c.Queue, AcceptedMS: c.AtMS, Phase: Queued}
+	j := &Job{Submission: c.Submission, Queue: c.Queue, Team: c.Team, Borrowed: c.Borrowed, AcceptedMS: c.AtMS, Phase: Queued}
 	s.jobs[c.ID] = j
 	return Applied{Jobs: []*Job{j}}
 }
@@ -135,6 +136,7 @@
 		w.Reserved = w.Reserved.Add(need)
 		w.Tasks[TaskRef{c.StepRef, it.Index}] = it.Run
 		j.AssignedTasks++
+		s.addUsage(j, need)
 	}
 	j.Phase = Running
 	return Applied{Jobs: []*Job{j}}
@@ -151,6 +153,9 @@
 	if st.Gang && len(c.Items) != st.Count {
 		return fmt.Errorf("assign %s: %d of the %d tasks of a gang", c.StepRef, len(c.Items), st.Count)
 	}
+	if err := s.checkTeamLimit(j, st.Reserved().Scale(len(c.Items))); err != nil {
+		return fmt.Errorf("assign %s: %w", c.StepRef, err)
+	}
 	queue := s.QueueOf(j)
 	attempts, pool := queue.MaxAttempts, queue.Pool
 	planned := map[string]resource.Amount{}
@@ -225,6 +230,7 @@
 	st := &j.Steps[e.Step]
 	delete(w.Tasks, e.TaskRef)
 	w.Reserved = w.Reserved.Sub(st.Reserved())
+	s.subUsage(j, st.Reserved())
 	t.Worker = ""
 	j.AssignedTasks--
 	if e.Checkpoint != "" {
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -22,8 +22,10 @@
 // Submit stores a job in a queue.
 type Submit struct {
 	Submission
-	Queue string `json:"queue"`
-	AtMS  int64  `json:"at_ms"`
+	Queue    string `json:"queue"`
+	Team     string `json:"team,omitempty"`
+	Borrowed bool   `json:"borrowed,omitempty"` // see Job.Borrowed
+	AtMS     int64  `json:"at_ms"`
 }
 
 // Cancel ends a job. The leader then stops its running tasks.
--- a/state/job/config.go
+++ b/state/job/config.go
@@ -14,6 +14,9 @@
 	Queues   []Queue `json:"queues,omitempty"`
 	Pools    []Pool  `json:"pools,omitempty"`
 	Document []byte  `json:"document,omitempty"` // document that the operator sent, so that it can be read back unchanged
+
+	HasTeams bool   `json:"has_teams,omitempty"` // callers authenticate as one of Teams
+	Teams    []Team `json:"teams,omitempty"`
 }
 
 // Queue accepts jobs and names the pool whose workers run them.
@@ -28,6 +31,7 @@
 	Stretch         float64 `json:"stretch"`           // the target time of a job is Stretch (at least 1) times its critical path plus TargetLatencyMS
 	TargetLatencyMS int64   `json:"target_latency_ms"` // milliseconds
 	Advice          *Advice `json:"advice,omitempty"`  // nil if every worker of the pool may run the queue's steps
+	Public          bool    `json:"public,omitempty"`  // calls need no key
 }
 
 // Equal reports whether two queues have the same settings.
@@ -89,7 +93,7 @@
 		}
 		names[q.Name], prefixes[hostAndPrefix] = true, true
 	}
-	return nil
+	return validateTeams(c.Teams)
 }
 
 // queueIndex finds queues by name and by path. It exists because a configuration may
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -152,6 +152,8 @@
 type Job struct {
 	Submission
 	Queue               string              `json:"queue"`
+	Team                string              `json:"team,omitempty"`     // owner, empty if the call needed no key
+	Borrowed            bool                `json:"borrowed,omitempty"` // accepted beyond the rate of its team; yields to all other work
 	AcceptedMS          int64               `json:"accepted_ms"`        // Unix milliseconds
 	FinalMS             int64               `json:"final_ms,omitempty"` // time at which Phase became final, Unix milliseconds; 0 before
 	Phase               Phase               `json:"phase"`
--- a/state/job/state.go
+++ b/state/job/state.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"slices"
+
+	"github.com/primrosereach/primrosereach/state/resource"
 )
 
 // State is the replicated state of the job group. It is used by one goroutine.
@@ -10,15 +12,17 @@
 	applied uint64
 	config  Configuration
 	queues  queueIndex       // index of the queues of config
+	teams   teamIndex        // index of the teams of config
 	retired map[string]Queue // queues that were removed from the configuration; their jobs still use them
 	jobs    map[ID]*Job
 	workers map[string]*Worker // by ID
 	waves   map[int]*Wave
+	usage   map[string]resource.Amount // capacity that the tasks of a team reserve, by team
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{retired: map[string]Queue{}, jobs: map[ID]*Job{}, workers: map[string]*Worker{}, waves: map[int]*Wave{}}
+	return &State{retired: map[string]Queue{}, jobs: map[ID]*Job{}, workers: map[string]*Worker{}, waves: map[int]*Wave{}, usage: map[string]resource.Amount{}}
 }
 
 // Applied returns the log index of the last applied command.
@@ -139,6 +143,7 @@
 	s := New()
 	s.applied, s.config = snap.Applied, snap.Config
 	s.queues = s.config.index()
+	s.teams = indexTeams(s.config.Teams)
 	maps.Copy(s.retired, snap.Retired)
 	for _, w := range snap.Workers {
 		c := *w
@@ -149,6 +154,7 @@
 		c := j.clone()
 		s.jobs[c.ID] = c
 		c.eachOnWorker(func(r TaskRef, t *Task) {
+			s.addUsage(c, c.Steps[r.Step].Reserved())
 			if w := s.workers[t.Worker]; w != nil {
 				w.Tasks[r] = t.Run
 			}
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -226,6 +226,10 @@
 			m.metrics.observeMeasurement(measure)
 			return
 		}
+		if report, ok := e.Effect.(jobs.TeamReport); ok {
+			m.metrics.teams.observe(&report)
+			return
+		}
 		m.startOrder(e.Effect)
 	case coordination.GroupChanged:
 		m.metrics.observeGroup(e)
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -37,6 +37,7 @@
 	peerCalls   *prometheus.CounterVec
 	rejected    *prometheus.CounterVec
 	group       *prometheus.GaugeVec
+	teams       *teamMetrics
 	queues      map[string]bool // queues that have their own time series
 }
 
@@ -61,7 +62,9 @@
 			Name: namespace + "group_members", Help: "Members of the group, by what they are to this process: voters as far as it knows; responsive voters and learners if it leads; leaders known to it.",
 		}, []string{"group", "kind"}),
 		queues: map[string]bool{},
+		teams:  newTeamMetrics(),
 	}
+	m.teams.register(m.registry)
 	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, m.rejected, m.group, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: namespace + "ready", Help: "1 if the process serves callers."}, func() float64 {
 			if ready() {
