transport/ingress: bound the connections, body bytes and time of clients

Cause: each handler read its whole body without a bound over all requests or a time for it, and no listener bounded its connections; a gateway opened a connection to the leader for each call under way. Limits follow from the memory limit.

--- a/cmd/primrosereach/site.go
+++ b/cmd/primrosereach/site.go
@@ -64,6 +64,7 @@
 	logger := hclog.New(&hclog.LoggerOptions{Name: "platform", Level: hclog.LevelFromString(s.LogLevel), JSONFormat: true, Output: os.Stdout})
 	return site.Platform{
 		Workers: platform.NewWorkers(logger), Advisor: platform.NewAdvisor(s.AdviceAPI), VMs: platform.NewVMs(s.VMAPI),
+		MaxCallerBody: platform.MaxJobBytes, MaxControlBody: platform.MaxControlBytes,
 		Callers: func(c *site.Client, leaving func() bool) http.Handler { return platform.CallersHandler(c, leaving) },
 		Control: func(c *site.Client, leaving func() bool) http.Handler { return platform.ControlHandler(c, leaving) },
 	}
--- a/protocol/settings/site.go
+++ b/protocol/settings/site.go
@@ -29,6 +29,7 @@
 	AdviceAPI      string     `json:"advice_api"` // address of the service that advises which workers may run a step
 	VMAPI          string     `json:"vm_api"`     // address of the service that maintains VMs
 	MemoryMB       int        `json:"memory_mb"`  // memory limit of the process in MiB, 0 for none
+	Limits         SiteLimits `json:"limits"`
 	Bounds         SiteBounds `json:"bounds"`
 	LogLevel       string     `json:"log_level"` // trace, debug, info, warn or error; default info
 }
@@ -42,6 +43,12 @@
 	Peers   string `json:"peers"` // where other processes connect, if it is not the IP and peer port of this process
 }
 
+// SiteLimits bound what clients can make a process hold. Fields that are 0 follow from MemoryMB.
+type SiteLimits struct {
+	Connections int `json:"connections"` // open connections of one listener for callers, workers or operators
+	BodyKB      int `json:"body_kb"`     // KiB of request bodies that are being received or handled
+}
+
 // SiteBounds are limits that the deployment sets.
 type SiteBounds struct {
 	MaxLeaseMS          float64 `json:"max_lease_ms" required:"true"` // longest lease that a worker grants
@@ -99,6 +106,12 @@
 			c.addf(path, "%q is not IP:port", v)
 		}
 	}
+	if s.Limits.Connections < 0 {
+		c.addf("limits.connections", "must not be negative")
+	}
+	if s.Limits.BodyKB < 0 {
+		c.addf("limits.body_kb", "must not be negative")
+	}
 	if s.Bounds.RepairTimeS < 0 {
 		c.addf("bounds.repair_time_s", "must not be negative")
 	}
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -317,9 +317,16 @@
 	}
 }
 
-// newPeerTransport returns the transport for calls between processes of the site.
-func newPeerTransport() *http.Transport {
+// maxCallConnections bounds the connections of a gateway to one member. Callers that come while all
+// are in use wait for one: each would otherwise cost the leader a descriptor. Members have no such
+// limit, since their replication must not wait for calls.
+const maxCallConnections = 64
+
+// newPeerTransport returns the transport for calls between processes of the site. maxConnections
+// bounds the connections to one process, 0 for no limit.
+func newPeerTransport(maxConnections int) *http.Transport {
 	return &http.Transport{
+		MaxConnsPerHost:     maxConnections,
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 32, IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
--- a/transport/site/gateway.go
+++ b/transport/site/gateway.go
@@ -17,7 +17,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	x := newProcess(runCtx, s, newPlatform(s), os.Stdout)
+	x := newProcess(runCtx, s, newPlatform(s), os.Stdout, maxCallConnections)
 	failed := make(chan error, 8)
 	servers, err := x.startListeners(gatewayAPI{x}, noLoop{}, nil, failed)
 	if err != nil {
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -41,7 +41,7 @@
 	}
 	runCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	m := &member{process: newProcess(runCtx, s, newPlatform(s), os.Stdout), loop: control.NewLoop(), runCtx: runCtx}
+	m := &member{process: newProcess(runCtx, s, newPlatform(s), os.Stdout, 0), loop: control.NewLoop(), runCtx: runCtx}
 	m.client.local = m.Perform
 	m.client.confirmWorker = m.confirmWorker
 	debug.SetGCPercent(memberGCPercent)
--- a/transport/site/metrics.go
+++ b/transport/site/metrics.go
@@ -36,6 +36,7 @@
 	queued      prometheus.Histogram
 	peerCalls   *prometheus.CounterVec
 	rejected    *prometheus.CounterVec
+	refused     *prometheus.CounterVec
 	group       *prometheus.GaugeVec
 	teams       *teamMetrics
 	queues      map[string]bool // queues that have their own time series
@@ -58,6 +59,7 @@
 		}),
 		peerCalls: counter("peer_calls_total", "Calls to other processes, by operation; deliver carries replication messages, relayed orders and their results.", "operation"),
 		rejected:  counter("rejected_messages_total", "Messages from outside that were invalid and had no effect, by kind.", "kind"),
+		refused:   counter("refused_clients_total", "Connections and requests of clients that were refused or closed to bound what they hold, by listener and reason.", "reason"),
 		group: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: namespace + "group_members", Help: "Members of the group, by what they are to this process: voters as far as it knows; responsive voters and learners if it leads; leaders known to it.",
 		}, []string{"group", "kind"}),
@@ -65,7 +67,7 @@
 		teams:  newTeamMetrics(),
 	}
 	m.teams.register(m.registry)
-	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, m.rejected, m.group, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.calls, m.callTime, m.orders, m.decisions, m.wait, m.total, m.step, m.queued, m.peerCalls, m.rejected, m.refused, m.group, collectors.NewGoCollector(),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: namespace + "ready", Help: "1 if the process serves callers."}, func() float64 {
 			if ready() {
 				return 1
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -25,6 +25,7 @@
 	"github.com/primrosereach/primrosereach/protocol/access"
 	"github.com/primrosereach/primrosereach/protocol/settings"
 	"github.com/primrosereach/primrosereach/transport/control"
+	"github.com/primrosereach/primrosereach/transport/ingress"
 	"github.com/primrosereach/primrosereach/transport/peer"
 	"github.com/primrosereach/primrosereach/transport/random"
 )
@@ -62,6 +63,8 @@
 	// close the connection, so that they connect to another process.
 	Callers func(c *Client, closeConnections func() bool) http.Handler
 	Control func(c *Client, closeConnections func() bool) http.Handler
+	// MaxCallerBody and MaxControlBody bound the bodies of the requests to these handlers, in bytes.
+	MaxCallerBody, MaxControlBody int
 }
 
 // process holds the parts that members and gateways have in common.
@@ -74,6 +77,9 @@
 	draining     atomic.Bool
 	reloadSignal chan os.Signal // receives SIGHUP, the request to reload the settings
 	metrics      *metrics
+	limits       ingress.Limits
+	bodies       *ingress.Budget
+	refusals     rejections
 	wg           sync.WaitGroup
 }
 
@@ -91,19 +97,24 @@
 	memoryShare = 0.6
 )
 
-func newProcess(ctx context.Context, s *settings.Site, p Platform, logs *os.File) *process {
+// newProcess returns a process without listeners. maxConnections bounds its connections to one other
+// process, 0 for no limit.
+func newProcess(ctx context.Context, s *settings.Site, p Platform, logs *os.File, maxConnections int) *process {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	}
 	reloadSignal := make(chan os.Signal, 1)
 	signal.Notify(reloadSignal, syscall.SIGHUP)
 	x := &process{reloadSignal: reloadSignal, settings: s, platform: p, logger: newLogger(logs, s.LogLevel, s.Name, s.Domain)}
-	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport()}, "http", "", x.logger)
+	x.peers = peer.NewClient(ctx, &http.Client{Transport: newPeerTransport(maxConnections)}, "http", "", x.logger)
 	x.peers.Self = peer.Self{Address: s.PeerAddress(), ClockID: random.Uint64(), Now: control.NewClock().Now}
 	x.client = &Client{self: s.PeerAddress(), tracker: newTracker(s.SeedPeerAddresses()), peers: x.peers, logger: x.logger, maxStale: s.MaxStale()}
+	x.limits = limitsOf(s)
+	x.bodies = ingress.NewBudget(x.limits.BodyBytes)
 	x.metrics = newMetrics(func() bool { return x.client.Ready() && !x.draining.Load() })
 	x.client.observeCall = x.metrics.observeCall
-	x.client.rejections.logger = x.logger
+	x.refusals = rejections{logger: x.logger, message: "a client was refused", count: func(reason string) { x.metrics.refused.WithLabelValues(reason).Inc() }}
+	x.client.rejections.logger, x.client.rejections.message = x.logger, "an invalid message was rejected"
 	x.client.rejections.count = func(kind string) { x.metrics.rejected.WithLabelValues(kind).Inc() }
 	x.peers.OnCall = func(operation string) { x.metrics.peerCalls.WithLabelValues(operation).Inc() }
 	x.client.tracker.sendHeartbeat = x.client.sendHeartbeat(s.Name)
@@ -170,17 +181,57 @@
 	}
 }
 
-// listenAndServe listens on an address and serves a handler in the background until the
+// limitsOf returns the limits on clients in the settings, or the defaults.
+func limitsOf(s *settings.Site) ingress.Limits {
+	l := ingress.DefaultLimits(s.MemoryMB)
+	if s.Limits.Connections > 0 {
+		l.Connections = s.Limits.Connections
+	}
+	if s.Limits.BodyKB > 0 {
+		l.BodyBytes = int64(s.Limits.BodyKB) << 10
+	}
+	return l
+}
+
+// peerConnectionFactor is the number of connections of other processes for each connection of
+// a client that a listener allows. Each process keeps several connections to the leader.
+const peerConnectionFactor = 2.5
+
+// maxCheckBytes bounds the bodies of readiness checks and requests for metrics, which have none.
+const maxCheckBytes = 1 << 10
+
+// maxCheckConnections bounds the connections for readiness checks, and those for metrics.
+const maxCheckConnections = 64
+
+// listener is an address that a process serves.
+type listener struct {
+	kind        string // for logs and metrics
+	address     string
+	handler     http.Handler
+	connections int
+	maxBody     int // bytes, 0 for bodies that the handler reads and bounds itself
+}
+
+// listenAndServe listens on an address and serves its handler in the background until the
 // returned server is shut down.
-func (x *process) listenAndServe(address string, h http.Handler, failed chan<- error) (*http.Server, error) {
+func (x *process) listenAndServe(at listener, failed chan<- error) (*http.Server, error) {
+	address, h := at.address, at.handler
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	guard := ingress.NewGuard(at.connections, x.bodies, func(r ingress.Reason) {
+		x.refusals.add(time.Now(), at.kind+": "+string(r), nil)
+	})
+	l = guard.Listener(l)
+	if at.maxBody > 0 {
+		h = guard.Handler(h, at.maxBody)
+	}
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: x.logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	guard.Protect(s)
 	x.wg.Go(func() {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			failed <- errors.Wrapf(err, "serve %s", address)
@@ -192,26 +243,27 @@
 // startListeners starts a server for each address in the settings and returns those that
 // were started, also if there is an error.
 func (x *process) startListeners(api peer.Performer, loop peer.Sender, relay peer.OrderRelay, failed chan<- error) (public []*http.Server, err error) {
-	add := func(address string, h http.Handler) {
-		if address == "" || h == nil || err != nil {
+	add := func(l listener) {
+		if l.address == "" || l.handler == nil || err != nil {
 			return
 		}
 		var s *http.Server
-		if s, err = x.listenAndServe(address, h, failed); err == nil {
+		if s, err = x.listenAndServe(l, failed); err == nil {
 			public = append(public, s)
 		}
 	}
 	peers := peer.NewHandler(loop, api, relay, access.NewInsecure(), x.logger)
+	n := x.limits.Connections
 	if x.settings.Listen.Callers != "" {
-		add(x.settings.Listen.Callers, x.platform.Callers(x.client, x.notReady))
+		add(listener{"callers", x.settings.Listen.Callers, x.platform.Callers(x.client, x.notReady), n, x.platform.MaxCallerBody})
 	}
 	if x.settings.Listen.Control != "" {
-		add(x.settings.Listen.Control, x.platform.Control(x.client, x.draining.Load))
+		add(listener{"control", x.settings.Listen.Control, x.platform.Control(x.client, x.draining.Load), n, x.platform.MaxControlBody})
 	}
-	add(x.settings.Listen.Ready, x.readyHandler())
-	add(cmp.Or(x.settings.Listen.Peers, x.settings.PeerAddress()), peers)
+	add(listener{"ready", x.settings.Listen.Ready, x.readyHandler(), maxCheckConnections, maxCheckBytes})
+	add(listener{"peers", cmp.Or(x.settings.Listen.Peers, x.settings.PeerAddress()), peers, int(peerConnectionFactor * float64(n)), 0})
 	if x.settings.MetricsPort > 0 {
-		add(net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metrics.handler())
+		add(listener{"metrics", net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metrics.handler(), maxCheckConnections, maxCheckBytes})
 	}
 	return public, err
 }
--- a/transport/site/rejections.go
+++ b/transport/site/rejections.go
@@ -11,18 +11,19 @@
 // kind. A writer that repeats such a message must not fill the log.
 const rejectionLogPeriod = time.Second
 
-// rejections counts invalid messages from outside and logs them at a bounded rate. Its methods
+// rejections counts invalid messages from outside, or refused clients, and logs them at a bounded rate. Its methods
 // may be called by several goroutines.
 type rejections struct {
-	logger hclog.Logger
-	count  func(kind string) // counts a message in the metrics
+	logger  hclog.Logger
+	message string            // of the log lines
+	count   func(kind string) // counts a message in the metrics
 
 	mu      sync.Mutex
 	logged  map[string]time.Time // time of the last log line, by kind
 	omitted map[string]int       // messages since then that were not logged, by kind
 }
 
-// add records an invalid message.
+// add records an invalid message, or a refused client with a nil error.
 func (r *rejections) add(now time.Time, kind string, err error) {
 	r.count(kind)
 	r.mu.Lock()
@@ -34,7 +35,11 @@
 		r.omitted[kind]++
 		return
 	}
-	r.logger.Warn("an invalid message was rejected", "step", "reject", "kind", kind, "error", err.Error(), "omitted", r.omitted[kind])
+	fields := []any{"step", "reject", "kind", kind, "omitted", r.omitted[kind]}
+	if err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	r.logger.Warn(r.message, fields...)
 	r.logged[kind], r.omitted[kind] = now, 0
 }
 
