daemon: request bodies of the project's own interface are charged to a budget

Cause: 1,024 connections with bodies of 1 MiB each were read without a bound over all of them. Change: the public listener receives bodies through transport/ingress; its answers keep the server's own timeout. Result: processtest passes (before AnswerTimeout became a field, TestNoMajority failed: its answer takes longer than 20 s).

--- a/transport/daemon/serve.go
+++ b/transport/daemon/serve.go
@@ -12,6 +12,7 @@
 	"github.com/primrosereach/primrosereach/coordination"
 	"github.com/primrosereach/primrosereach/transport/endpoint"
 	"github.com/primrosereach/primrosereach/transport/httpapi"
+	"github.com/primrosereach/primrosereach/transport/ingress"
 	"github.com/primrosereach/primrosereach/transport/peer"
 )
 
@@ -65,7 +66,10 @@
 		Loop: p.loop, Forwarder: p.peers, Access: p.access, MaxBody: p.settings.Limits.MaxBodyBytes, Metrics: p.metrics.Handler(),
 		Timeout: requestTimeout, Overloaded: l.public.overloaded, OnAnswer: p.metrics.ObserveAnswer,
 	})
-	public := p.newServer(api)
+	guard := ingress.NewGuard(p.settings.Limits.MaxConnections, ingress.NewBudget(ingress.DefaultLimits(0).BodyBytes), func(r ingress.Reason) {
+		p.logger.Debug("a client was refused", "step", "reject", "reason", string(r))
+	})
+	public := p.newServer(guard.Handler(api, int(p.settings.Limits.MaxBodyBytes)))
 	public.ReadTimeout, public.WriteTimeout = requestTimeout, requestTimeout+writeMargin
 	peers := p.newServer(peer.NewHandler(p.loop, api, nil, p.access, p.logger))
 
--- a/transport/ingress/body.go
+++ b/transport/ingress/body.go
@@ -21,7 +21,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*conn)
 		control := http.NewResponseController(w)
-		_ = control.SetWriteDeadline(time.Now().Add(answerTimeout)) // connections of servers have deadlines
+		g.limitAnswer(control)
 		if r.Body != nil && r.Body != http.NoBody {
 			used := &charge{budget: g.budget}
 			defer used.release()
@@ -35,11 +35,18 @@
 		if c != nil {
 			c.setPhase(isServed)
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(answerTimeout))
+		g.limitAnswer(control)
 		next.ServeHTTP(w, r)
 	})
 }
 
+// limitAnswer starts the time in which the answer has to be read.
+func (g *Guard) limitAnswer(control *http.ResponseController) {
+	if g.AnswerTimeout > 0 {
+		_ = control.SetWriteDeadline(time.Now().Add(g.AnswerTimeout)) // connections of servers have deadlines
+	}
+}
+
 // receive reads a body and charges its buffer, which grows with what has arrived and not with what
 // the client has announced.
 func (g *Guard) receive(c *conn, control *http.ResponseController, body io.Reader, used *charge, maxBody int) ([]byte, error) {
--- a/transport/ingress/guard.go
+++ b/transport/ingress/guard.go
@@ -24,6 +24,10 @@
 // Guard bounds the connections of one listener and the requests on them. Its methods may be called
 // by several goroutines.
 type Guard struct {
+	// AnswerTimeout bounds the time from the end of a body until the answer has been read. If it is
+	// 0, the server's own timeout holds.
+	AnswerTimeout time.Duration
+
 	limit    int
 	budget   *Budget
 	onRefuse func(Reason)
--- a/transport/ingress/limits.go
+++ b/transport/ingress/limits.go
@@ -48,9 +48,6 @@
 	// minBodyRate bytes that have arrived.
 	bodyTimeout = 5 * time.Second
 	minBodyRate = 16 << 10
-	// answerTimeout bounds the time from the end of a body until the answer has been read. Calls
-	// take up to 10 s.
-	answerTimeout = 20 * time.Second
 	// retryAfterSeconds is sent with refusals. Stalled requests are closed within a second.
 	retryAfterSeconds = "1"
 )
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -89,6 +89,9 @@
 	// clientIdleTimeout bounds how long the connection of a client may be idle.
 	clientIdleTimeout = 30 * time.Second
 	maxHeaderBytes    = 16 << 10
+	// answerTimeout bounds the time from the end of a request until its answer has been read. Calls
+	// take up to 10 s.
+	answerTimeout = 20 * time.Second
 	// balancerDelay is how long a stopping gateway reports "not ready" before it closes
 	// its listeners. The load balancer checks once a second and acts on the second answer.
 	balancerDelay = 2200 * time.Millisecond
@@ -223,6 +226,7 @@
 	guard := ingress.NewGuard(at.connections, x.bodies, func(r ingress.Reason) {
 		x.refusals.add(time.Now(), at.kind+": "+string(r), nil)
 	})
+	guard.AnswerTimeout = answerTimeout
 	l = guard.Listener(l)
 	if at.maxBody > 0 {
 		h = guard.Handler(h, at.maxBody)
