jobs: renewals of tickets name workers with room soon while agents are scarce

Change: while most agents are busy, a renewal names further approved workers on which a run ends soon, as many as half of the call's fixed time pays for, and a step with valid tickets of eight workers asks for no others.

--- a/coordination/jobs/advice.go
+++ b/coordination/jobs/advice.go
@@ -153,6 +153,14 @@
 		return nextCallNotDue
 	}
 	ask, avoided := l.workersToRenew(p, s, need)
+	scarce := l.agents.scarce(l.now, callTime(s.queue.Advice, minRequestWorkers))
+	if scarce && len(ask) > 0 {
+		if s.validTickets(l.now) >= minRequestWorkers {
+			s.advice.nextRequest = l.now + renewalPause
+			return nextCallNotDue
+		}
+		ask = l.addWorkersWithRoomSoon(p, s, ask, batchSize(s.queue.Advice))
+	}
 	if len(ask) == 0 {
 		limit := maxRequestWorkers
 		if s.advice.refused {
