jobs: run times are learnt from parts of runs and from the tasks of the same step

Cause: runs that resumed or were adopted counted as if they had done all the work of their task, so their workers seemed several times as fast; and the expectation for a task ignored the tasks of its own step that had ended. Change: a run counts with the part of the work that was seen; the expectation for a step combines that of its queue, weighted by its reliability, with the step's own runs. Both are used for expected ends only.

--- a/coordination/estimate/estimate.go
+++ b/coordination/estimate/estimate.go
@@ -39,6 +39,7 @@
 	P50, P90    time.Duration
 	Reliability float64 // share of recent runs within a factor of 2 of P50, 0 without observations
 	Samples     int     // number of observations on which the prediction is based
+	ErrorSpread float64 // standard deviation of the logarithms of the recent errors of P50, 0 with few observations
 }
 
 // ForDeadline returns the run time to use when a deadline is checked. It rises from P50
--- a/coordination/estimate/kind.go
+++ b/coordination/estimate/kind.go
@@ -31,6 +31,10 @@
 	last     uint64  // Estimator.count at the latest observation
 }
 
+// normalSpread is the distance from the 10% to the 90% quantile of a normal distribution, in standard
+// deviations.
+const normalSpread = 2.563
+
 var emptyStats = *newKindStats()
 
 func newKindStats() *kindStats { return &kindStats{total: reliabilityPrior} }
@@ -67,7 +71,12 @@
 	if !ok {
 		return Prediction{}
 	}
+	spread := 0.0
+	if k.errors.n >= minSamples {
+		spread = k.errors.spread() / normalSpread
+	}
 	return Prediction{
+		ErrorSpread: spread,
 		P50:         fromLogMS(base + w.mixedQuantile(0.5, centre, weight)),
 		P90:         fromLogMS(base + w.mixedQuantile(0.9, centre, weight)),
 		Reliability: k.hits / k.total,
--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/primrosereach/primrosereach/coordination/estimate"
 	"github.com/primrosereach/primrosereach/state/job"
 )
 
@@ -176,9 +175,6 @@
 	}
 }
 
-// taskKind is the kind under which run times of tasks are learned, for each queue.
-const taskKind = "task"
-
 // recordOutcome logs the end of a run and updates the failure streak and the estimated
 // speed of the worker. After a failure the step avoids the worker. It is called before the
 // end is committed.
@@ -193,12 +189,12 @@
 		level = "info"
 	}
 	l.log(level, "end", e.TaskRef.String(), w.ID, "a run ended", "run", e.Run, "how", string(e.Kind), "ran_ms", (l.now - r.assignedAt).Milliseconds(), "reason", r.reason)
+	if s != nil && !s.spec.Gang {
+		l.learnRunTime(w, s, r, e.Kind)
+	}
 	switch e.Kind {
 	case job.EndDone:
 		w.failures.succeeded()
-		if s != nil && !s.spec.Gang && r.phase == running {
-			l.speeds.Observe(l.now, estimate.Observation{Team: s.queue.Name, Kind: taskKind, Endpoint: w.ID, DeclaredMS: s.spec.EstimateMS, RunMS: (l.now - r.phaseSince).Milliseconds()})
-		}
 	case job.EndNotStarted:
 		if r.unanswered && l.now >= l.suspectDomains[w.rec.Domain].until { // workers of a suspect domain may be cut off
 			l.recordFailure(w, e.Job, "starts of different jobs were not answered")
--- a/coordination/jobs/reservation.go
+++ b/coordination/jobs/reservation.go
@@ -222,21 +222,6 @@
 // run time.
 const minProgressPercent = 10
 
-// runTime returns the expected run time of a task of a step on a worker of the given speed. The
-// prediction of a step is renewed once in predictionAge: a plan needs those of thousands of runs.
-func (l *Leader) runTime(s *step, speed float64) time.Duration {
-	if s.predicted == 0 || l.now-s.predictedAt > predictionAge {
-		s.predicted, s.predictedAt = l.speeds.Predict(s.queue.Name, taskKind, s.spec.EstimateMS).P50, l.now
-		if s.predicted <= 0 {
-			s.predicted = max(1, time.Duration(s.spec.EstimateMS)*time.Millisecond)
-		}
-	}
-	return time.Duration(float64(s.predicted) / max(speed, minSpeed))
-}
-
-// predictionAge is how long a predicted run time is used.
-const predictionAge = time.Second
-
 // minSpeed bounds the run time that is expected on a slow worker.
 const minSpeed = 0.05
 
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -29,6 +29,7 @@
 	runEndedAt         time.Duration // time at which a run last ended, started or not, 0 if none has
 	lastEnd            lastEnd
 
+	workTimes   []float64     // logarithms of the run times of tasks of the step in ms, as on a worker of speed 1
 	predicted   time.Duration // expected run time of a task on a worker of speed 1, 0 if not predicted yet
 	predictedAt time.Duration // time of that prediction
 	exhausted   bool          // a running task has failed as often as the queue allows now
