--- a/transport/ingress/ingress_test.go
+++ b/transport/ingress/ingress_test.go
@@ -154,8 +154,7 @@
 // although its body was not received.
 func TestRefusedRequestIsAnsweredAndNotHandled(t *testing.T) {
 	handled := 0
-	var guard *Guard
-	guard = NewGuard(8, NewBudget(64<<10), func(Reason) {})
+	guard := NewGuard(8, NewBudget(64<<10), func(Reason) {})
 	other := &charge{budget: guard.budget}
 	other.resize(20 << 10)
 	h := guard.Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled++ }), 1<<20)
