jobs: some agents are reserved for quick calls for advice

Change: if a queue makes calls below 40 ms, every sixth agent makes only such calls. TestQuickCallsDoNotWaitForMediumOnes fails without it.

--- a/coordination/jobs/advicecalls_test.go
+++ b/coordination/jobs/advicecalls_test.go
@@ -200,3 +200,32 @@
 		t.Errorf("the gang is started after %v", d)
 	}
 }
+
+// Load pattern: medium calls of a tenth of a second use up the agents. Guards against quick calls, whose
+// work is due within a fraction of a second, that wait behind them, and against agents that are kept
+// idle where no queue makes quick calls.
+func TestQuickCallsDoNotWaitForMediumOnes(t *testing.T) {
+	medium, quick := &job.Advice{PerCallMS: 100, PerWorkerMS: 1.4, ValidMS: 2000}, &job.Advice{PerCallMS: 11, PerWorkerMS: 0.16, ValidMS: 2000}
+	for _, hasQuick := range []bool{true, false} {
+		sim := newAdviceSimulation(t, 36, 10, medium)
+		l := sim.leader
+		if hasQuick {
+			c := *sim.state.Configuration()
+			c.Version++
+			c.Queues = append([]job.Queue(nil), c.Queues...)
+			c.Queues[0].Advice = quick
+			sim.apply(&job.Command{Configure: &c})
+			l.configurationApplied()
+		}
+		for l.agents.pick(l.now, callTime(medium, 1)) != nil {
+			l.agents.pick(l.now, callTime(medium, 1)).busyUntil += 2 * maxAgentBacklog
+		}
+		idle := len(l.agents.available(l.now, callTime(quick, cheapRequestWorkers), 0))
+		if hasQuick && idle == 0 {
+			t.Error("no agent is left for quick calls")
+		}
+		if !hasQuick && idle > 0 {
+			t.Errorf("%d agents are idle although no queue makes quick calls", idle)
+		}
+	}
+}
--- a/coordination/jobs/agents.go
+++ b/coordination/jobs/agents.go
@@ -4,12 +4,20 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
 )
 
 const (
 	// longCallTime is the expected duration from which a call does not use the agents that
 	// are reserved for short calls, so that short calls do not queue behind it.
 	longCallTime = 150 * time.Millisecond
+	// quickCallTime is the expected duration from which a call does not use the agents that are
+	// reserved for quick calls. Work whose objective is a fraction of a second would otherwise wait
+	// behind several calls of a tenth of a second each, while agents are scarce.
+	quickCallTime = 40 * time.Millisecond
+	// quickAgentShare is the number of agents of which one is reserved for quick calls.
+	quickAgentShare = 6
 	// agentTimeout is the time since its last heartbeat after which an agent gets no calls.
 	agentTimeout = 2 * time.Second
 	// agentPause is how long an agent gets no calls after a call that failed or timed out.
@@ -30,7 +38,17 @@
 	downUntil   time.Duration // no calls before this time, after a failure
 }
 
-type agents struct{ list []*agent }
+type agents struct {
+	list          []*agent
+	reservesQuick bool // some agents are reserved for quick calls, since a queue makes them
+}
+
+// configured decides whether agents are reserved for quick calls.
+func (a *agents) configured(c *job.Configuration) {
+	a.reservesQuick = slices.ContainsFunc(c.Queues, func(q job.Queue) bool {
+		return q.Advice != nil && callTime(q.Advice, minRequestWorkers) < quickCallTime
+	})
+}
 
 // processHeartbeat adds a process to the agents, if it is new, and records the contact.
 func (l *Leader) processHeartbeat(e ProcessHeartbeat) {
@@ -73,7 +91,7 @@
 
 // available returns the responsive agents that may make a call of the expected duration cost and are
 // free within the time backlog. If there are more than two agents, every third one is reserved for
-// short calls.
+// short calls, and every sixth one for quick calls if a queue makes them.
 func (a *agents) available(now, cost, backlog time.Duration) []*agent {
 	out := make([]*agent, 0, len(a.list))
 	n := 0
@@ -88,6 +106,9 @@
 		if cost >= longCallTime && n%3 == 1 && len(a.list) > 2 {
 			continue
 		}
+		if a.reservesQuick && cost >= quickCallTime && n%quickAgentShare == quickAgentShare-2 {
+			continue
+		}
 		out = append(out, x)
 	}
 	return out
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -99,6 +99,7 @@
 		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), teams: newTeamLedger(), relays: newRelays(),
 		earlierStartsEnd: now + lateStartTime, needsSchedule: true, takingOver: true,
 	}
+	l.agents.configured(st.Configuration())
 	for _, w := range st.Workers() {
 		l.trackWorker(w)
 	}
--- a/coordination/jobs/reconfigure.go
+++ b/coordination/jobs/reconfigure.go
@@ -11,6 +11,7 @@
 // their tasks are placed again.
 func (l *Leader) configurationApplied() {
 	l.teamsChanged()
+	l.agents.configured(l.state.Configuration())
 	for _, s := range l.sortedSteps() {
 		if s.job.Phase.Final() {
 			continue // its record may have no steps any more
