jobs: a preview of where a job would go now, and why

Cause: operators cannot tell what would happen to a job before it is submitted. Nothing is submitted, stored or taken. The project's own interface has none yet.

--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -245,6 +245,7 @@
 	Configuration *job.Configuration // for ReadConfiguration
 	WaveCompleted bool               // for ReadWave
 	Members       []string           // peer addresses of the group's members, for ProcessHeartbeat
+	Preview       *PreviewResult     // for Preview
 }
 
 // Code classifies an Answer.
--- a/coordination/jobs/team_test.go
+++ b/coordination/jobs/team_test.go
@@ -59,9 +59,10 @@
 
 func (sim *simulation) answerTo(e func(Token) Event) Answer {
 	sim.token++
-	sim.handle(e(sim.token))
+	token := sim.token
+	sim.handle(e(token))
 	sim.run(sim.now + 100*time.Millisecond)
-	return sim.answers[sim.token]
+	return sim.answers[token]
 }
 
 func (sim *simulation) submitAs(c Credential, path string, id job.ID) Answer {
--- a/transport/site/metrics_test.go
+++ b/transport/site/metrics_test.go
@@ -24,6 +24,8 @@
 	m.queued.Observe(0.001)
 	m.peerCalls.WithLabelValues("deliver").Inc()
 	m.rejected.WithLabelValues("heartbeat").Inc()
+	m.refused.WithLabelValues("callers: stalled").Inc()
+	m.teams.observe(&jobs.TeamReport{Teams: []jobs.TeamUsage{{Team: "a", Weight: 1}}})
 	m.observeGroup(coordination.GroupChanged{Group: "jobs", Leader: "a"})
 	return m
 }
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -63,6 +63,9 @@
 	// close the connection, so that they connect to another process.
 	Callers func(c *Client, closeConnections func() bool) http.Handler
 	Control func(c *Client, closeConnections func() bool) http.Handler
+	// Preview returns the handler that tells what would happen to a job. It is served beside the
+	// metrics, nil for none.
+	Preview func(c *Client) http.Handler
 	// MaxCallerBody and MaxControlBody bound the bodies of the requests to these handlers, in bytes.
 	MaxCallerBody, MaxControlBody int
 }
@@ -200,7 +203,7 @@
 // a client that a listener allows. Each process keeps several connections to the leader.
 const peerConnectionFactor = 2.5
 
-// maxCheckBytes bounds the bodies of readiness checks and requests for metrics, which have none.
+// maxCheckBytes bounds the bodies of readiness checks, which have none.
 const maxCheckBytes = 1 << 10
 
 // maxCheckConnections bounds the connections for readiness checks, and those for metrics.
@@ -267,11 +270,22 @@
 	add(listener{"ready", x.settings.Listen.Ready, x.readyHandler(), maxCheckConnections, maxCheckBytes})
 	add(listener{"peers", cmp.Or(x.settings.Listen.Peers, x.settings.PeerAddress()), peers, int(peerConnectionFactor * float64(n)), 0})
 	if x.settings.MetricsPort > 0 {
-		add(listener{"metrics", net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.metrics.handler(), maxCheckConnections, maxCheckBytes})
+		add(listener{"metrics", net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.operatorHandler(), maxCheckConnections, max(maxCheckBytes, x.platform.MaxCallerBody)})
 	}
 	return public, err
 }
 
+// operatorHandler serves the metrics, and previews of jobs.
+func (x *process) operatorHandler() http.Handler {
+	if x.platform.Preview == nil {
+		return x.metrics.handler()
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/", x.metrics.handler())
+	mux.Handle("POST /preview", x.platform.Preview(x.client))
+	return mux
+}
+
 // notReady reports whether callers should use another process, because this one is
 // stopping or cannot reach the leader.
 func (x *process) notReady() bool { return x.draining.Load() || !x.client.Ready() }
