--- a/coordination/jobs/preview.go
+++ b/coordination/jobs/preview.go
@@ -19,7 +19,7 @@
 
 func (Preview) jobEvent() {}
 
-// PreviewResult tells what the leader would decide about a job on its present state.
+// PreviewResult describes what the leader would decide about a job on its present state.
 type PreviewResult struct {
 	Queue        string        `json:"queue,omitempty"`
 	Pool         string        `json:"pool,omitempty"`
@@ -32,7 +32,7 @@
 	Steps        []StepPreview `json:"steps,omitempty"`          // those that need no other step
 }
 
-// StepPreview tells where the tasks of a step would go.
+// StepPreview describes where the tasks of a step would go.
 type StepPreview struct {
 	Step          int      `json:"step"`
 	Tasks         int      `json:"tasks"`
@@ -101,7 +101,7 @@
 	}
 }
 
-// previewSteps tells where the steps would go that need no other step.
+// previewSteps describes where the steps go that need no other step.
 func (l *Leader) previewSteps(out *PreviewResult, q *job.Queue, s *job.Submission) {
 	j := &job.Job{Submission: *s, Queue: q.Name, Team: out.Team, Borrowed: out.Borrowed, AcceptedMS: l.wallMS, Phase: job.Queued}
 	waiting := l.waitingSteps()
--- a/coordination/jobs/preview_test.go
+++ b/coordination/jobs/preview_test.go
@@ -13,7 +13,7 @@
 	})
 }
 
-// Guards against a preview that submits the job, takes a token of its team, or tells something else than
+// Guards against a preview that submits the job, takes a token of its team, or differs from
 // what then happens to the job.
 func TestPreviewAgreesWithSubmission(t *testing.T) {
 	sim := newReadySimulation(t, 51, 4, nil)
@@ -44,7 +44,7 @@
 	}
 }
 
-// Guards against a preview that does not say why a job would be refused.
+// Guards against a preview without the reason for which a job would be refused.
 func TestPreviewTellsWhyAJobIsRefused(t *testing.T) {
 	sim := newReadySimulation(t, 52, 2, nil)
 	sim.teamOf = func(job.ID) string { return "a" }
--- a/coordination/jobs/team.go
+++ b/coordination/jobs/team.go
@@ -38,7 +38,7 @@
 	shareMargin    = 0.05
 	// teamReportInterval is the minimum time between two reports on the teams.
 	teamReportInterval = time.Second
-	// maxRetryAfter bounds the delay that a refused caller is told.
+	// maxRetryAfter bounds the delay that a refused caller is given.
 	maxRetryAfter = 30 * time.Second
 )
 
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -63,7 +63,7 @@
 	// close the connection, so that they connect to another process.
 	Callers func(c *Client, closeConnections func() bool) http.Handler
 	Control func(c *Client, closeConnections func() bool) http.Handler
-	// Preview returns the handler that tells what would happen to a job. It is served beside the
+	// Preview returns the handler that answers what would happen to a job. It is served beside the
 	// metrics, nil for none.
 	Preview func(c *Client) http.Handler
 	// MaxCallerBody and MaxControlBody bound the bodies of the requests to these handlers, in bytes.
