site: a submission that was rejected after a lost attempt has an unknown outcome

Cause: an attempt without an answer may have been accepted with a key that is withdrawn before the next attempt; 401 or 403 would then say that the job never runs. Change: both codes are treated like a refusal after an attempt with an unknown outcome. Result: TestLostSubmissionIsUnknown failed for both codes before.

--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -161,7 +161,7 @@
 		a, outcome := c.attempt(ctx, op)
 		switch {
 		case outcome == answered && a.Code != jobs.CodeUnavailable && a.Code != jobs.CodeUnknown:
-			if unknown && a.Code == jobs.CodeRefused {
+			if unknown && saysNotAccepted(a.Code) {
 				a.Code = jobs.CodeUnknown
 			}
 			return a
@@ -191,6 +191,12 @@
 	return last
 }
 
+// saysNotAccepted reports whether a code means that a submission was not accepted, which holds for one
+// attempt only: an earlier one may have been, with a key that was withdrawn since.
+func saysNotAccepted(c jobs.Code) bool {
+	return c == jobs.CodeRefused || c == jobs.CodeUnauthenticated || c == jobs.CodeForbidden
+}
+
 // awaitElection waits, without calling any member, while an election is in progress. It
 // reports whether it waited and a leader was elected.
 func (c *Client) awaitElection(ctx context.Context, began time.Time) bool {
--- a/transport/site/client_test.go
+++ b/transport/site/client_test.go
@@ -78,7 +78,14 @@
 // Guards against a submission that is reported as refused although a member may have
 // stored it: the first attempt is not answered, the second one is refused.
 func TestLostSubmissionIsUnknown(t *testing.T) {
-	refused, err := json.Marshal(map[string]any{"code": jobs.CodeRefused})
+	for _, code := range []jobs.Code{jobs.CodeRefused, jobs.CodeUnauthenticated, jobs.CodeForbidden} {
+		t.Run(string(code), func(t *testing.T) { testLostSubmission(t, code) })
+	}
+}
+
+// testLostSubmission submits a job whose first attempt is lost and whose second one is rejected.
+func testLostSubmission(t *testing.T, code jobs.Code) {
+	refused, err := json.Marshal(map[string]any{"code": code})
 	if err != nil {
 		t.Fatal(err)
 	}
