--- a/cmd/primrosereach/app.go
+++ b/cmd/primrosereach/app.go
@@ -68,7 +68,7 @@
 	f.StringVar(&a.operator, "operator", "", "your name, on a test network without tokens")
 	f.IntVar(&a.maxRounds, "rounds", cli.DefaultRounds, "attempts at each server before giving up")
 	root.AddCommand(
-		a.serveCommand(), a.memberCommand(), a.gatewayCommand(), a.explainCommand(), a.previewCommand(), a.settingsCommand(), a.questionnaireCommand(), a.applyCommand(),
+		a.serveCommand(), a.memberCommand(), a.gatewayCommand(), a.explainCommand(), a.dryRunCommand(), a.settingsCommand(), a.questionnaireCommand(), a.applyCommand(),
 		a.submitCommand(), a.statusCommand(), a.waitCommand(), a.cancelCommand(), a.listCommand(),
 		a.endpointsCommand(), a.drainCommand(), a.auditCommand(), a.configCommand(),
 		a.versionCommand(),
--- a/cmd/primrosereach/preview.go
+++ b/cmd/primrosereach/dryrun.go
@@ -11,14 +11,14 @@
 	"github.com/primrosereach/primrosereach/transport/cli"
 )
 
-func (a *app) previewCommand() *cobra.Command {
-	p := &cli.PreviewRequest{}
+func (a *app) dryRunCommand() *cobra.Command {
+	p := &cli.DryRunRequest{}
 	keyFile := ""
 	c := &cobra.Command{
-		Use:     "preview FILE",
+		Use:     "dry-run FILE",
 		Short:   "Print where a job would go now, and why, without submitting it",
 		Long:    "Print what the leader of the job group would decide now about the job in FILE: whether it would be accepted, what is ahead of it, where its tasks would go and when. Nothing is submitted.",
-		Example: "  primrosereach preview --server 10.1.0.24:9102 --host nony24.example --path /lohu930/new-job --key-file key job.json",
+		Example: "  primrosereach dry-run --server 10.1.0.24:9102 --host nony24.example --path /lohu930/new-job --key-file key job.json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var err error
@@ -32,7 +32,7 @@
 				}
 				p.Key = strings.TrimSpace(string(key))
 			}
-			return cli.Preview(cmd.Context(), a.stdout, http.DefaultClient, p)
+			return cli.DryRun(cmd.Context(), a.stdout, http.DefaultClient, p)
 		},
 	}
 	flags := c.Flags()
--- a/cmd/primrosereach/site.go
+++ b/cmd/primrosereach/site.go
@@ -65,7 +65,7 @@
 	return site.Platform{
 		Workers: platform.NewWorkers(logger), Advisor: platform.NewAdvisor(s.AdviceAPI), VMs: platform.NewVMs(s.VMAPI),
 		MaxCallerBody: platform.MaxJobBytes, MaxControlBody: platform.MaxControlBytes,
-		Preview: func(c *site.Client) http.Handler { return platform.PreviewHandler(c) },
+		DryRun:  func(c *site.Client) http.Handler { return platform.DryRunHandler(c) },
 		Callers: func(c *site.Client, leaving func() bool) http.Handler { return platform.CallersHandler(c, leaving) },
 		Control: func(c *site.Client, leaving func() bool) http.Handler { return platform.ControlHandler(c, leaving) },
 	}
--- a/coordination/jobs/preview.go
+++ b/coordination/jobs/dryrun.go
@@ -8,8 +8,8 @@
 	"github.com/primrosereach/primrosereach/state/job"
 )
 
-// Preview requests what would happen to a job if it were submitted now. It changes nothing.
-type Preview struct {
+// DryRun requests what would happen to a job if it were submitted now. It changes nothing.
+type DryRun struct {
 	Token      Token
 	Host       string
 	Path       string
@@ -17,23 +17,23 @@
 	Submission job.Submission
 }
 
-func (Preview) jobEvent() {}
+func (DryRun) jobEvent() {}
 
-// PreviewResult describes what the leader would decide about a job on its present state.
-type PreviewResult struct {
-	Queue        string        `json:"queue,omitempty"`
-	Pool         string        `json:"pool,omitempty"`
-	Team         string        `json:"team,omitempty"`
-	Accepted     bool          `json:"accepted"`
-	Borrowed     bool          `json:"borrowed,omitempty"`       // accepted beyond the rate of its team: all other work comes first
-	Reason       string        `json:"reason,omitempty"`         // why it would be refused
-	RetryAfterMS int64         `json:"retry_after_ms,omitempty"` // for a refusal because of load
-	ObjectiveMS  int64         `json:"objective_ms,omitempty"`   // time from acceptance by which it should be done
-	Steps        []StepPreview `json:"steps,omitempty"`          // those that need no other step
+// DryRunResult describes what the leader would decide about a job on its present state.
+type DryRunResult struct {
+	Queue        string       `json:"queue,omitempty"`
+	Pool         string       `json:"pool,omitempty"`
+	Team         string       `json:"team,omitempty"`
+	Accepted     bool         `json:"accepted"`
+	Borrowed     bool         `json:"borrowed,omitempty"`       // accepted beyond the rate of its team: all other work comes first
+	Reason       string       `json:"reason,omitempty"`         // why it would be refused
+	RetryAfterMS int64        `json:"retry_after_ms,omitempty"` // for a refusal because of load
+	ObjectiveMS  int64        `json:"objective_ms,omitempty"`   // time from acceptance by which it should be done
+	Steps        []DryRunStep `json:"steps,omitempty"`          // those that need no other step
 }
 
-// StepPreview describes where the tasks of a step would go.
-type StepPreview struct {
+// DryRunStep describes where the tasks of a step would go.
+type DryRunStep struct {
 	Step          int      `json:"step"`
 	Tasks         int      `json:"tasks"`
 	StepsAhead    int      `json:"steps_ahead"`     // waiting steps that are placed first
@@ -50,11 +50,11 @@
 	WaitsForCause string   `json:"waits_for_cause"` // what the step would wait for, "" for nothing
 }
 
-// maxPreviewCandidates bounds the workers that a preview names for a step.
-const maxPreviewCandidates = 5
+// maxDryRunCandidates bounds the workers that a dry run names for a step.
+const maxDryRunCandidates = 5
 
-// preview answers with the decisions about a job. It uses the functions that decide about jobs.
-func (l *Leader) preview(e Preview) {
+// dryRun answers with the decisions about a job. It uses the functions that decide about jobs.
+func (l *Leader) dryRun(e DryRun) {
 	q, id := l.resolve(e.Token, e.Host, e.Path)
 	if q == nil {
 		return
@@ -64,16 +64,16 @@
 		return
 	}
 	e.Submission.ID = id
-	out := &PreviewResult{Queue: q.Name, Pool: q.Pool, Team: team}
-	l.previewAdmission(out, q, &e.Submission)
+	out := &DryRunResult{Queue: q.Name, Pool: q.Pool, Team: team}
+	l.dryRunAdmission(out, q, &e.Submission)
 	if out.Accepted {
-		l.previewSteps(out, q, &e.Submission)
+		l.dryRunSteps(out, q, &e.Submission)
 	}
-	l.host.Reply(e.Token, Answer{Code: CodeOK, Preview: out})
+	l.host.Reply(e.Token, Answer{Code: CodeOK, DryRun: out})
 }
 
-// previewAdmission decides whether a job would be accepted, without taking a token of its team.
-func (l *Leader) previewAdmission(out *PreviewResult, q *job.Queue, s *job.Submission) {
+// dryRunAdmission decides whether a job would be accepted, without taking a token of its team.
+func (l *Leader) dryRunAdmission(out *DryRunResult, q *job.Queue, s *job.Submission) {
 	if err := s.Validate(); err != nil {
 		out.Reason = err.Error()
 		return
@@ -101,8 +101,8 @@
 	}
 }
 
-// previewSteps describes where the steps go that need no other step.
-func (l *Leader) previewSteps(out *PreviewResult, q *job.Queue, s *job.Submission) {
+// dryRunSteps describes where the steps go that need no other step.
+func (l *Leader) dryRunSteps(out *DryRunResult, q *job.Queue, s *job.Submission) {
 	j := &job.Job{Submission: *s, Queue: q.Name, Team: out.Team, Borrowed: out.Borrowed, AcceptedMS: l.wallMS, Phase: job.Queued}
 	waiting := l.waitingSteps()
 	over := l.teamsOverShare(waiting)
@@ -122,22 +122,22 @@
 				ahead++
 			}
 		}
-		x := l.previewStep(p, st)
+		x := l.dryRunStep(p, st)
 		x.StepsAhead = ahead
 		out.Steps = append(out.Steps, x)
 	}
 }
 
-func (l *Leader) previewStep(p *schedulingPass, s *step) StepPreview {
+func (l *Leader) dryRunStep(p *schedulingPass, s *step) DryRunStep {
 	need := s.spec.Count
-	x := StepPreview{Step: s.ref.Step, Tasks: need, WithinLimit: l.tasksWithinLimit(s, need), NeedsAdvice: s.queue.Advice != nil, FitsInMS: -1}
+	x := DryRunStep{Step: s.ref.Step, Tasks: need, WithinLimit: l.tasksWithinLimit(s, need), NeedsAdvice: s.queue.Advice != nil, FitsInMS: -1}
 	for _, w := range p.usable {
 		if matchesWorker(s, w) {
 			x.Workers++
 		}
 	}
 	for _, c := range l.candidates(p, s, p.usable, func(*worker) bool { return true }) {
-		if len(x.Candidates) < maxPreviewCandidates {
+		if len(x.Candidates) < maxDryRunCandidates {
 			x.Candidates = append(x.Candidates, c.w.ID)
 		}
 		x.FitNow += c.tasksThatFit
@@ -146,16 +146,16 @@
 	x.RunMS, x.RunHighMS, x.RunsReliable = l.runTime(s, 1).Milliseconds(), expected.P90.Milliseconds(), expected.Reliability
 	x.FitNow = min(x.FitNow, need)
 	x.StartsNow = x.FitNow >= need && x.WithinLimit >= need
-	if at, known := l.previewFit(p, s, need); known {
+	if at, known := l.expectedFit(p, s, need); known {
 		x.FitsInMS = max(0, at-l.now).Milliseconds()
 	}
-	x.WaitsForCause = string(previewCause(&x, s.spec.Gang))
+	x.WaitsForCause = string(waitCause(&x, s.spec.Gang))
 	return x
 }
 
-// previewFit returns when there is expected to be room for all tasks of a step, on all workers that
+// expectedFit returns when there is expected to be room for all tasks of a step, on all workers that
 // may run it if they are approved.
-func (l *Leader) previewFit(p *schedulingPass, s *step, need int) (at time.Duration, known bool) {
+func (l *Leader) expectedFit(p *schedulingPass, s *step, need int) (at time.Duration, known bool) {
 	var rooms []roomAt
 	for _, w := range p.usable {
 		if matchesWorker(s, w) {
@@ -169,7 +169,7 @@
 	return rooms[need-1].at, true
 }
 
-func previewCause(x *StepPreview, gang bool) placementOutcome {
+func waitCause(x *DryRunStep, gang bool) placementOutcome {
 	switch {
 	case x.WithinLimit == 0 || gang && x.WithinLimit < x.Tasks:
 		return atTeamLimit
--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -245,7 +245,7 @@
 	Configuration *job.Configuration // for ReadConfiguration
 	WaveCompleted bool               // for ReadWave
 	Members       []string           // peer addresses of the group's members, for ProcessHeartbeat
-	Preview       *PreviewResult     // for Preview
+	DryRun        *DryRunResult      // for DryRun
 }
 
 // Code classifies an Answer.
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -126,8 +126,8 @@
 		l.submit(e)
 	case Lookup:
 		l.lookup(e)
-	case Preview:
-		l.preview(e)
+	case DryRun:
+		l.dryRun(e)
 	case Cancel:
 		l.cancel(e)
 	case Configure:
--- a/protocol/fuzz_test.go
+++ b/protocol/fuzz_test.go
@@ -33,7 +33,7 @@
 		if proto.Unmarshal(data, &r) == nil {
 			decodeAll(&r)
 		}
-		for _, name := range []OperationName{OpJobSubmit, OpJobPreview, OpJobConfigure, OpStartWave, OpWorkerHeartbeat, OpProcessHeartbeat, OpDeregisterWorker} {
+		for _, name := range []OperationName{OpJobSubmit, OpJobDryRun, OpJobConfigure, OpStartWave, OpWorkerHeartbeat, OpProcessHeartbeat, OpDeregisterWorker} {
 			_, _ = DecodeJobEvent(Operation{Name: name, Body: data}, 1) // only a panic is a failure
 		}
 		_, _ = DecodeJobAnswer(Result{Body: data})
--- a/protocol/job.go
+++ b/protocol/job.go
@@ -13,7 +13,7 @@
 // Operations on the job group.
 const (
 	OpJobSubmit            OperationName = "submit job"
-	OpJobPreview           OperationName = "preview job"
+	OpJobDryRun            OperationName = "dry run of job"
 	OpJobLookup            OperationName = "look up job"
 	OpJobCancel            OperationName = "cancel job"
 	OpJobConfigure         OperationName = "configure queues"
@@ -54,8 +54,8 @@
 	switch e := ev.(type) {
 	case jobs.Submit:
 		name, c = OpJobSubmit, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
-	case jobs.Preview:
-		name, c = OpJobPreview, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
+	case jobs.DryRun:
+		name, c = OpJobDryRun, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
 	case jobs.Lookup:
 		name, c = OpJobLookup, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential}
 	case jobs.Cancel:
@@ -98,11 +98,11 @@
 			return nil, missing
 		}
 		return jobs.Submit{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission}, nil
-	case OpJobPreview:
+	case OpJobDryRun:
 		if c.Submission == nil {
 			return nil, missing
 		}
-		return jobs.Preview{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission}, nil
+		return jobs.DryRun{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission}, nil
 	case OpJobLookup:
 		return jobs.Lookup{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential}, nil
 	case OpJobCancel:
@@ -145,14 +145,14 @@
 	WaveCompleted bool               `json:"wave_completed,omitempty"`
 	Members       []string           `json:"members,omitempty"`
 
-	Preview *jobs.PreviewResult `json:"preview,omitempty"`
+	DryRun *jobs.DryRunResult `json:"dry_run,omitempty"`
 }
 
 // EncodeJobAnswer returns the transmitted form of an answer.
 func EncodeJobAnswer(a jobs.Answer) (Result, error) {
 	b, err := json.Marshal(jobAnswer{
 		Code: a.Code, Message: a.Message, RetryAfterMS: a.RetryAfter.Milliseconds(), Phase: a.Phase, Waiting: a.Waiting,
-		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, Preview: a.Preview,
+		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, DryRun: a.DryRun,
 	})
 	if err != nil {
 		return Result{}, errors.Wrap(err, "encode answer")
@@ -168,7 +168,7 @@
 	}
 	return jobs.Answer{
 		Code: a.Code, Message: a.Message, RetryAfter: time.Duration(a.RetryAfterMS) * time.Millisecond, Phase: a.Phase, Waiting: a.Waiting,
-		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, Preview: a.Preview,
+		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, DryRun: a.DryRun,
 	}, nil
 }
 
--- a/transport/cli/preview.go
+++ b/transport/cli/dryrun.go
@@ -15,11 +15,11 @@
 	"github.com/primrosereach/primrosereach/coordination/jobs"
 )
 
-// previewTimeout bounds a request for a preview.
-const previewTimeout = 5 * time.Second
+// dryRunTimeout bounds a request for a dry run.
+const dryRunTimeout = 5 * time.Second
 
-// PreviewRequest names a job that is not submitted yet.
-type PreviewRequest struct {
+// DryRunRequest names a job that is not submitted yet.
+type DryRunRequest struct {
 	Server string // metrics address of a member or a gateway, host:port
 	Host   string // host of the queue
 	Path   string // path of the job
@@ -28,21 +28,21 @@
 	JSON   bool   // print the answer as JSON
 }
 
-// Preview asks what would happen to a job and prints the answer. It submits nothing.
-func Preview(ctx context.Context, w io.Writer, client *http.Client, p *PreviewRequest) error {
-	ctx, cancel := context.WithTimeout(ctx, previewTimeout)
+// DryRun asks what would happen to a job and prints the answer. It submits nothing.
+func DryRun(ctx context.Context, w io.Writer, client *http.Client, p *DryRunRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, dryRunTimeout)
 	defer cancel()
 	query := url.Values{"host": {p.Host}, "path": {p.Path}}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Server+"/preview?"+query.Encode(), strings.NewReader(string(p.Job)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Server+"/dry-run?"+query.Encode(), strings.NewReader(string(p.Job)))
 	if err != nil {
-		return &InputError{Err: errors.Wrap(err, "preview")}
+		return &InputError{Err: errors.Wrap(err, "dry run")}
 	}
 	if p.Key != "" {
 		r.Header.Set("Authorization", "Bearer "+p.Key)
 	}
 	res, err := client.Do(r)
 	if err != nil {
-		return errors.Wrapf(err, "ask %s for a preview", p.Server)
+		return errors.Wrapf(err, "ask %s for a dry run", p.Server)
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
@@ -56,15 +56,15 @@
 		_, err = fmt.Fprintln(w, strings.TrimSpace(string(data)))
 		return errors.Wrap(err, "write")
 	}
-	var out jobs.PreviewResult
+	var out jobs.DryRunResult
 	if err := json.Unmarshal(data, &out); err != nil {
 		return errors.Wrapf(err, "decode the answer of %s", p.Server)
 	}
-	_, err = io.WriteString(w, formatPreview(&out))
+	_, err = io.WriteString(w, formatDryRun(&out))
 	return errors.Wrap(err, "write")
 }
 
-func formatPreview(p *jobs.PreviewResult) string {
+func formatDryRun(p *jobs.DryRunResult) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "queue %s, pool %s", p.Queue, p.Pool)
 	if p.Team != "" {
@@ -85,12 +85,12 @@
 	}
 	fmt.Fprintf(&b, "; objective %d ms\n", p.ObjectiveMS)
 	for i := range p.Steps {
-		formatStepPreview(&b, &p.Steps[i])
+		formatStep(&b, &p.Steps[i])
 	}
 	return b.String()
 }
 
-func formatStepPreview(b *strings.Builder, s *jobs.StepPreview) {
+func formatStep(b *strings.Builder, s *jobs.DryRunStep) {
 	fmt.Fprintf(b, "step %d: %d tasks, %d steps ahead, %d usable workers, room for %d now, %d within the team's limit\n",
 		s.Step, s.Tasks, s.StepsAhead, s.Workers, s.FitNow, s.WithinLimit)
 	if len(s.Candidates) > 0 {
--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -63,9 +63,9 @@
 	// close the connection, so that they connect to another process.
 	Callers func(c *Client, closeConnections func() bool) http.Handler
 	Control func(c *Client, closeConnections func() bool) http.Handler
-	// Preview returns the handler that answers what would happen to a job. It is served beside the
+	// DryRun returns the handler that answers what would happen to a job. It is served beside the
 	// metrics, nil for none.
-	Preview func(c *Client) http.Handler
+	DryRun func(c *Client) http.Handler
 	// MaxCallerBody and MaxControlBody bound the bodies of the requests to these handlers, in bytes.
 	MaxCallerBody, MaxControlBody int
 }
@@ -275,14 +275,14 @@
 	return public, err
 }
 
-// operatorHandler serves the metrics, and previews of jobs.
+// operatorHandler serves the metrics, and dry runs of jobs.
 func (x *process) operatorHandler() http.Handler {
-	if x.platform.Preview == nil {
+	if x.platform.DryRun == nil {
 		return x.metrics.handler()
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/", x.metrics.handler())
-	mux.Handle("POST /preview", x.platform.Preview(x.client))
+	mux.Handle("POST /dry-run", x.platform.DryRun(x.client))
 	return mux
 }
 
