site: profiles on the metrics port have two minutes to be read

Cause: the new time for answers, 20 s, would cut a profile of the default 30 s. Change: the metrics port has a time of its own.

--- a/transport/site/process.go
+++ b/transport/site/process.go
@@ -95,6 +95,9 @@
 	// answerTimeout bounds the time from the end of a request until its answer has been read. Calls
 	// take up to 10 s.
 	answerTimeout = 20 * time.Second
+	// profileTimeout is the same for requests to the metrics port. A profile takes 30 s unless the
+	// request says otherwise.
+	profileTimeout = 2 * time.Minute
 	// balancerDelay is how long a stopping gateway reports "not ready" before it closes
 	// its listeners. The load balancer checks once a second and acts on the second answer.
 	balancerDelay = 2200 * time.Millisecond
@@ -209,6 +212,9 @@
 // maxCheckConnections bounds the connections for readiness checks, and those for metrics.
 const maxCheckConnections = 64
 
+// metricsListener is the kind of the listener for metrics, profiles and dry runs.
+const metricsListener = "metrics"
+
 // listener is an address that a process serves.
 type listener struct {
 	kind        string // for logs and metrics
@@ -230,6 +236,9 @@
 		x.refusals.add(time.Now(), at.kind+": "+string(r), nil)
 	})
 	guard.AnswerTimeout = answerTimeout
+	if at.kind == metricsListener {
+		guard.AnswerTimeout = profileTimeout
+	}
 	l = guard.Listener(l)
 	if at.maxBody > 0 {
 		h = guard.Handler(h, at.maxBody)
@@ -270,7 +279,7 @@
 	add(listener{"ready", x.settings.Listen.Ready, x.readyHandler(), maxCheckConnections, maxCheckBytes})
 	add(listener{"peers", cmp.Or(x.settings.Listen.Peers, x.settings.PeerAddress()), peers, int(peerConnectionFactor * float64(n)), 0})
 	if x.settings.MetricsPort > 0 {
-		add(listener{"metrics", net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.operatorHandler(), maxCheckConnections, max(maxCheckBytes, x.platform.MaxCallerBody)})
+		add(listener{metricsListener, net.JoinHostPort(x.settings.IP, strconv.Itoa(x.settings.MetricsPort)), x.operatorHandler(), maxCheckConnections, max(maxCheckBytes, x.platform.MaxCallerBody)})
 	}
 	return public, err
 }
