--- a/coordination/jobs/runtime_test.go
+++ b/coordination/jobs/runtime_test.go
@@ -85,8 +85,7 @@
 
 // Guards against expectations that are worse than the stated time alone, or than the median of the
 // queue's past runs, over histories whose steps differ, drift, have two modes, have heavy tails or
-// state nonsense. The target is the better of the two in each history; where all steps are alike but
-// for a drift, the running median is as good as any expectation, and a tenth more is allowed.
+// state nonsense. The target is the better of the two in each history.
 func TestExpectationsBeatStatedTimeAndMedian(t *testing.T) {
 	const width = 12
 	around := func(rng *rand.Rand) float64 { return 2000 * math.Exp(rng.NormFloat64()*0.5) }
@@ -140,11 +139,7 @@
 			}
 			l, s, m := medianOf(learned), medianOf(stated), medianOf(median)
 			t.Logf("median error as a factor: learned %.2f, stated %.2f, running median %.2f", math.Exp(l), math.Exp(s), math.Exp(m))
-			target := min(s, m)
-			if name == "drifting" {
-				target *= 1.1
-			}
-			if l > target {
+			if l > min(s, m) {
 				t.Errorf("the learned expectation is off by %.2f, the stated time by %.2f, the running median by %.2f", l, s, m)
 			}
 		})
