--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -425,3 +425,40 @@
 	}
 	return v, nil
 }
+
+// firstTask: a runner that runs other work begins its first task that lasts, and is lost soon after.
+func firstTask(p *platform, trouble bool) (verdict, error) {
+	if err := p.start(configuration(1, route{"batch", "/batch/", 1, 3}, route{"serve", "/serve/", 0, 3})); err != nil {
+		return verdict{}, err
+	}
+	if err := p.addMachines(8, 16000, func(i int) []string { return []string{"a", fmt.Sprint("r-", i%3)} }); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(3 * time.Second)
+	// Each runner has one long task.
+	long, serve := newID(), newID()
+	if err := p.submit(long, "/batch/", "work=100000", step{Count: 8, CPU: 9000, MemMb: 1024, Estimate: 100000}); err != nil {
+		return verdict{}, err
+	}
+	for i := range 8 {
+		if _, ok := p.awaitRun(fmt.Sprintf("%s.0.0.%d", long, i), 10*time.Second); !ok {
+			return verdict{}, fmt.Errorf("a long task does not run")
+		}
+	}
+	time.Sleep(3 * time.Second)
+	if err := p.submit(serve, "/serve/", "lasts", step{Count: 1, CPU: 2000, MemMb: 2048, Perpetual: true, Image: "i"}); err != nil {
+		return verdict{}, err
+	}
+	s, ok := p.awaitRun(serve+".0.0.0", 10*time.Second)
+	if !ok {
+		return verdict{}, fmt.Errorf("the task that lasts does not run")
+	}
+	time.Sleep(500 * time.Millisecond)
+	lost := map[string]time.Time{}
+	if trouble {
+		p.rec.say("runner %s is lost, 0.5 s after it has begun its first task that lasts", s.runner)
+		lost[s.task] = time.Now()
+		s.runner.vanish("crash")
+	}
+	return p.watchLasting(serve, 1, 9000, lost, time.Time{}, 20*time.Second)
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"withheld":  withheld,
 	"upkeep":    upkeepBesideCrash,
 	"configs":   manyConfigurations,
+	"first":     firstTask,
 }
 
 const timeLimit = 115 * time.Second
