--- a/review/standin-2/cases.go
+++ b/review/tools/standin-2/cases.go
@@ -462,3 +462,55 @@
 	}
 	return p.watchLasting(serve, 1, 9000, lost, time.Time{}, 20*time.Second)
 }
+
+// lateCopy: a start gets no answer and is carried out late. Meanwhile it was sent again, the task is done, and
+// the runner was cut off, has crashed behind the cut and started again under its id.
+func lateCopy(p *platform, trouble bool) (verdict, error) {
+	const delay, cutAfter, cutFor = 6 * time.Second, 3 * time.Second, 5500 * time.Millisecond
+	if err := p.start(configuration(1, route{"quick", "/quick/", 1, 3})); err != nil {
+		return verdict{}, err
+	}
+	if err := p.addMachines(6, 16000, func(i int) []string { return []string{"a", fmt.Sprint("r-", i%3)} }); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		p.mu.Lock()
+		p.late = delay
+		p.lateOf = func(r *runner, _ string) {
+			time.Sleep(cutAfter)
+			r.setCut(true)
+			r.vanish("crash behind the cut")
+			time.Sleep(500 * time.Millisecond)
+			x, err := p.startRunner(r.m, r.id, r.address)
+			if err != nil {
+				p.rec.say("the runner did not start again: %v", err)
+				return
+			}
+			x.setCut(true)
+			time.Sleep(cutFor - 500*time.Millisecond)
+			x.setCut(false)
+		}
+		p.mu.Unlock()
+	}
+	id := newID()
+	if err := p.submit(id, "/quick/", "work=1500", step{Count: 1, CPU: 2000, MemMb: 1024, Estimate: 1500}); err != nil {
+		return verdict{}, err
+	}
+	task := id + ".0.0.0"
+	time.Sleep(delay + 6*time.Second)
+	_, text := p.state(id, "/quick/")
+	p.rec.say("job %s: %s", id, text)
+	p.mu.Lock()
+	noted := p.noted[task]
+	p.mu.Unlock()
+	if noted.IsZero() {
+		return verdict{}, fmt.Errorf("no end of the task as done was taken note of")
+	}
+	for _, s := range p.spans(task) {
+		if s.from.After(noted) {
+			return verdict{true, fmt.Sprintf("TWICE: run %d of %s begins on %s %.2f s after its end as done was taken note of", s.number, task, s.runner, s.from.Sub(noted).Seconds())}, nil
+		}
+	}
+	return verdict{text: "the task has run once"}, nil
+}
--- a/review/standin-2/main.go
+++ b/review/tools/standin-2/main.go
@@ -24,6 +24,8 @@
 	"upkeep":    upkeepBesideCrash,
 	"configs":   manyConfigurations,
 	"first":     firstTask,
+	"copy":      lateCopy,
+	"endlost":   endIsLost,
 }
 
 const timeLimit = 115 * time.Second
--- a/review/standin-2/platform.go
+++ b/review/tools/standin-2/platform.go
@@ -62,6 +62,12 @@
 	orders   map[string]time.Time // time of the last order that ended a run, by task
 	upkeeps  map[string]bool      // "wave/machine" of the upkeeps that were begun
 	onUpkeep func(m string)
+	noted    map[string]time.Time // time at which the end of a task as done was taken note of
+	late     time.Duration        // delay of the next start, which gets no answer; 0 for none
+	lateOf   func(r *runner, task string)
+	crashing map[string]bool // machines whose runner crashes when the next start arrives
+
+	stopTime, listTime, firstBeat time.Duration // of runners: to stop a run, to answer with lists, until the first heartbeat
 }
 
 // span is a run from its beginning to its end.
@@ -80,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{rec: rec, dir: dir, binary: binary, holdMax: 10 * time.Second, memoryMB: 280, orders: map[string]time.Time{}, upkeeps: map[string]bool{},
+	p := &platform{rec: rec, dir: dir, binary: binary, holdMax: 10 * time.Second, memoryMB: 280, orders: map[string]time.Time{}, upkeeps: map[string]bool{}, noted: map[string]time.Time{}, crashing: map[string]bool{}, stopTime: stopDuration,
 		client: &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for range 50 {
 		p.prefix = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), 1+rand.IntN(250))
@@ -455,6 +461,57 @@
 	p.rec.logf("RUN %s run %d on %s ends: %s", x.task, x.number, r, how)
 }
 
+func (p *platform) takenNote(task, how string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if how == "done" && p.noted[task].IsZero() {
+		p.noted[task] = time.Now()
+	}
+}
+
+// leavesUnanswered reports whether a start gets no answer. It is then carried out late, by the runner that
+// has the id at that time.
+func (p *platform) leavesUnanswered(r *runner, o *orderBody) bool {
+	p.mu.Lock()
+	delay, f := p.late, p.lateOf
+	p.late = 0
+	p.mu.Unlock()
+	if delay == 0 {
+		return false
+	}
+	p.rec.say("the start of %s run %d on %s gets no answer and is carried out %s later", o.Task, o.Run, r, delay)
+	order := *o
+	time.AfterFunc(delay, func() {
+		for _, x := range p.all() {
+			if x.id == r.id && x.isAlive() {
+				status, out := x.start(&order)
+				p.rec.say("the start of %s run %d is carried out on %s -> %d %v", order.Task, order.Run, x, status, out["reason"])
+			}
+		}
+	})
+	go f(r, o.Task)
+	return true
+}
+
+// crashesNow ends a runner that is to crash when a start arrives, and starts it again under its id.
+func (p *platform) crashesNow(r *runner) bool {
+	p.mu.Lock()
+	crashes := p.crashing[r.m.name]
+	delete(p.crashing, r.m.name)
+	p.mu.Unlock()
+	if !crashes {
+		return false
+	}
+	go func() {
+		r.vanish("crash as a start arrives")
+		time.Sleep(30 * time.Millisecond)
+		if _, err := p.startRunner(r.m, r.id, r.address); err != nil {
+			p.rec.logf("runner %s does not start again: %v", r, err)
+		}
+	}()
+	return true
+}
+
 func (p *platform) ordered(task, what string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/standin-2/runner.go
+++ b/review/tools/standin-2/runner.go
@@ -22,7 +22,7 @@
 	startupTime  = 300 * time.Millisecond // of a task that lasts, until it is at work
 	maxListed    = 500
 	leaseCheck   = 10 * time.Millisecond
-	stopDuration = 100 * time.Millisecond // below stopMs
+	stopDuration = 100 * time.Millisecond // of a run, at most stopMs
 )
 
 // machine is where one runner lives at a time.
@@ -69,7 +69,8 @@
 	ended    []endRow
 	n, seq   int64
 	changed  chan struct{}
-	onStart  func(r *runner, task string)
+	isCut    bool  // cut off from all machines of the system
+	lapsed   int64 // number of the last end before the lease lapsed
 }
 
 // startRunner starts a runner on a machine at an address, "" for a free port.
@@ -114,12 +115,26 @@
 func (r *runner) handle(f func(*orderBody) (int, map[string]any)) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		var o orderBody
+		if r.cutOff() {
+			time.Sleep(time.Second)
+			panic(http.ErrAbortHandler) // no answer
+		}
 		status, out := 400, map[string]any{}
 		if x := q.Header.Get("Expect-Instance"); x != "" && x != r.id {
 			status = 421
 		} else if json.NewDecoder(q.Body).Decode(&o) == nil {
+			if q.URL.Path == "/run-start" && r.p.crashesNow(r) {
+				panic(http.ErrAbortHandler) // no answer
+			}
+			if q.URL.Path == "/run-start" && r.p.leavesUnanswered(r, &o) {
+				time.Sleep(time.Second)
+				panic(http.ErrAbortHandler) // no answer
+			}
 			status, out = f(&o)
 		}
+		if q.URL.Path == "/hold" {
+			time.Sleep(r.p.listTime)
+		}
 		out["clockMs"] = r.clock()
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(status)
@@ -177,9 +192,6 @@
 	if x.work > 0 {
 		x.timer = time.AfterFunc(x.work, func() { r.end(x, how) })
 	}
-	if r.onStart != nil {
-		go r.onStart(r, o.Task)
-	}
 	return 200, map[string]any{}
 }
 
@@ -215,7 +227,7 @@
 	if x := r.runs[o.Task]; x != nil && x.number <= o.Run && !x.stopped {
 		x.stopped = true
 		r.p.ordered(x.task, "a stop")
-		time.AfterFunc(stopDuration, func() { r.end(x, "stopped") })
+		time.AfterFunc(r.p.stopTime, func() { r.end(x, "stopped") })
 	}
 	return 200, map[string]any{}
 }
@@ -231,6 +243,9 @@
 	}
 	for len(r.ended) > 0 && r.ended[0].n <= o.AckSeq {
 		r.p.rec.logf("%s end %d of %s run %d (%s) is taken note of", r.id, r.ended[0].n, r.ended[0].task, r.ended[0].run, r.ended[0].how)
+		if r.ended[0].n > r.lapsed {
+			r.p.takenNote(r.ended[0].task, r.ended[0].how)
+		}
 		r.ended = r.ended[1:]
 	}
 	if o.WaitMs > 0 && len(r.ended) == 0 {
@@ -271,6 +286,9 @@
 			r.mu.Unlock()
 			return
 		}
+		if r.clock() > r.until {
+			r.lapsed = r.n
+		}
 		if len(r.runs) > 0 && r.clock() > r.until {
 			for _, x := range r.sorted() {
 				r.endLocked(x, "lapsed")
@@ -313,6 +331,19 @@
 	return r.alive
 }
 
+func (r *runner) cutOff() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isCut
+}
+
+func (r *runner) setCut(cut bool) {
+	r.mu.Lock()
+	r.isCut = cut
+	r.mu.Unlock()
+	r.p.rec.say("runner %s is cut off from all machines: %v", r, cut)
+}
+
 func (r *runner) drain() {
 	r.mu.Lock()
 	r.draining = true
@@ -322,6 +353,7 @@
 // beat sends heartbeats: to the next member after a failure.
 func (r *runner) beat() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	time.Sleep(r.p.firstBeat)
 	for i := int(r.born.UnixNano() % 3); ; {
 		r.mu.Lock()
 		if !r.alive {
@@ -344,6 +376,10 @@
 		q, _ := http.NewRequest("PUT", "http://"+to.control()+"/instances/"+r.id, bytes.NewReader(body))
 		q.Header.Set("Content-Type", "application/json")
 		wait := beatPeriod
+		if r.cutOff() {
+			time.Sleep(beatRetry)
+			continue
+		}
 		res, err := client.Do(q)
 		status := 0
 		if err == nil {
