--- a/review/tools/standin-2/cases.go
+++ b/review/tools/standin-2/cases.go
@@ -79,16 +79,18 @@
 	return verdict{true, text}, nil
 }
 
-// crashLatest ends the runner that has begun a run last, and starts it again 0.8 s later.
+// crashLatest ends a runner that has just begun a run, and starts it again 0.8 s later.
 func (p *platform) crashLatest() error {
-	p.mu.Lock()
 	var last span
-	for _, s := range p.history {
-		if s.to.IsZero() && s.from.After(last.from) {
-			last = s
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && time.Since(last.from) > 5*time.Millisecond; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		for _, s := range p.history {
+			if s.to.IsZero() && s.from.After(last.from) {
+				last = s
+			}
 		}
+		p.mu.Unlock()
 	}
-	p.mu.Unlock()
 	r := last.runner
 	if r == nil {
 		return fmt.Errorf("nothing runs")
