--- a/review/tools/standin-2/cases.go
+++ b/review/tools/standin-2/cases.go
@@ -35,15 +35,14 @@
 	var ids []string
 	var wg sync.WaitGroup
 	p.rec.say("traffic begins: 8 jobs a second")
+	var crashErr error
 	for i := range 64 {
-		if i == 62 && trouble {
-			if err := p.crashLatest(); err != nil {
-				return verdict{}, err
-			}
+		if i == 60 && trouble {
+			wg.Go(func() { crashErr = p.crashLatest() })
 		}
 		id := newID()
 		wg.Go(func() {
-			if p.submit(id, "/quick/", "work=1500", step{Count: 2, CPU: 1000, MemMb: 1024, Estimate: 1500}) == nil {
+			if p.submit(id, "/quick/", "work=1560", step{Count: 2, CPU: 1000, MemMb: 1024, Estimate: 1560}) == nil {
 				mu.Lock()
 				ids = append(ids, id)
 				mu.Unlock()
@@ -52,6 +51,9 @@
 		time.Sleep(125 * time.Millisecond)
 	}
 	wg.Wait()
+	if crashErr != nil {
+		return verdict{}, crashErr
+	}
 	ended := time.Now()
 	p.rec.say("traffic ends: %d jobs were accepted", len(ids))
 	time.Sleep(time.Until(ended.Add(finishTime)))
@@ -79,10 +81,13 @@
 	return verdict{true, text}, nil
 }
 
-// crashLatest ends a runner that has just begun a run, and starts it again 0.8 s later.
+// crashLatest ends a runner 20 ms after it has begun a run, and starts it again 0.8 s later.
 func (p *platform) crashLatest() error {
 	var last span
-	for end := time.Now().Add(5 * time.Second); time.Now().Before(end) && time.Since(last.from) > 5*time.Millisecond; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); time.Since(last.from) > 5*time.Millisecond; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("no run begins")
+		}
 		p.mu.Lock()
 		for _, s := range p.history {
 			if s.to.IsZero() && s.from.After(last.from) {
@@ -91,10 +96,8 @@
 		}
 		p.mu.Unlock()
 	}
+	time.Sleep(time.Until(last.from.Add(20 * time.Millisecond)))
 	r := last.runner
-	if r == nil {
-		return fmt.Errorf("nothing runs")
-	}
 	p.rec.say("runner %s crashes, %d ms after it has begun %s", r, time.Since(last.from).Milliseconds(), last.task)
 	r.vanish("crash")
 	address := ""
