--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -37,7 +37,7 @@
 		l.stopUnlistedRuns(w, e.Observe.SentAt, listed)
 	}
 	if len(ends) > 0 || lastEnd > w.rec.AckedEnd {
-		l.commitEnds(w, ends, lastEnd)
+		l.commitEnds(w, ends, lastEnd, nil)
 	}
 }
 
@@ -101,27 +101,33 @@
 }
 
 // commitEnds replicates ends of runs. They are acknowledged to the worker only after the
-// commit.
-func (l *Leader) commitEnds(w *worker, ends []job.RunEnd, ackedEnd int64) {
+// commit. onCommit, if not nil, is called once they are committed. It is not called if the log
+// takes no entry now: the runs stay assigned, and the caller has to learn of the ends again.
+func (l *Leader) commitEnds(w *worker, ends []job.RunEnd, ackedEnd int64, onCommit func()) {
 	for i := range ends {
 		l.recordOutcome(w, &ends[i])
 	}
 	runs := l.countGangFailuresOnce(w, ends)
 	cmd := &job.Command{EndRuns: &job.EndRuns{Incarnation: w.Incarnation, AtMS: l.wallMS, Runs: runs, AckedEnd: ackedEnd}}
-	w.committingEnds = l.propose(cmd, func(_ job.Applied, committed bool) {
-		w.committingEnds = false
+	ok := l.propose(cmd, func(_ job.Applied, committed bool) {
+		w.committingEnds--
 		if committed {
 			for i := range ends {
 				l.runEnded(w, &ends[i])
 			}
+			if onCommit != nil {
+				onCommit()
+			}
 		}
 		w.observeAt = l.now
 		l.markForReconcile(w)
 	})
-	if !w.committingEnds {
+	if !ok {
 		w.observeAt = l.now + observeRetry
+		l.logRefusedEnds(w, ends)
 		return
 	}
+	w.committingEnds++
 	for i := range runs {
 		if s := l.steps[runs[i].StepRef]; s != nil && s.spec.Gang && runs[i].Kind == job.EndFailed && w.isAssigned(&runs[i]) {
 			s.failedRun = max(s.failedRun, runs[i].Run)
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -126,7 +126,7 @@
 		}
 	}
 	if len(ends) > 0 {
-		l.commitEnds(w, ends, 0)
+		l.commitEnds(w, ends, 0, nil)
 	}
 }
 
@@ -135,7 +135,7 @@
 func (l *Leader) removeIfReplaced(w *worker) {
 	at, known := l.lateStartsEndAt(w)
 	switch {
-	case !known || w.committingEnds:
+	case !known || w.committingEnds > 0:
 	case l.now < at:
 		w.reconcileAt(at)
 		l.endRunsOfPrevious(w)
@@ -169,8 +169,10 @@
 		if l.stopAgainIfRestarted(w, e) {
 			return
 		}
-		l.commitLateRuns(w, e)
+		l.stopLateRuns(w, e)
+		l.commitLateEnds(w, e)
 	case OrderWrongIncarnation:
+		w.nextListedAt = e.Observe.SentAt
 	case OrderLost:
 		return
 	case OrderNotSent:
@@ -181,29 +183,35 @@
 		if w.misses++; w.misses >= maxMisses {
 			l.unanswered(w, "observe", e.Result)
 		}
-		return
 	}
-	w.nextListedAt = e.Observe.SentAt
 }
 
-// commitLateRuns replicates the ends that the next incarnation of a worker lists for runs that
-// were meant for the previous one, and stops those that it still runs. The ends are
-// acknowledged when it has joined.
-func (l *Leader) commitLateRuns(w *worker, e *Observed) {
+// stopLateRuns stops the runs again that were meant for the previous incarnation of a worker and that the
+// next one still lists as running.
+func (l *Leader) stopLateRuns(w *worker, e *Observed) {
 	for i := range e.Running {
 		if r := w.runs[e.Running[i].TaskRef]; r != nil && r.number == e.Running[i].Run {
 			r.stopConfirmedByNextAt, r.nextAttempt = 0, l.now
 		}
 	}
+}
+
+// commitLateEnds replicates the ends that the next incarnation of a worker lists for runs that were meant
+// for the previous one. They are acknowledged when it has joined. The runs count as listed only once their
+// ends are committed: if the log takes no entry now, the incarnation is polled again before it can join.
+func (l *Leader) commitLateEnds(w *worker, e *Observed) {
 	var ends []job.RunEnd
 	for i := range e.Ended {
 		if r := w.runs[e.Ended[i].TaskRef]; r != nil && r.number == e.Ended[i].Run && r.startMayBeInFlight() {
 			ends = append(ends, e.Ended[i].RunEnd)
 		}
 	}
-	if len(ends) > 0 {
-		l.commitEnds(w, ends, 0)
+	sentAt := e.Observe.SentAt
+	if len(ends) == 0 {
+		w.nextListedAt = sentAt
+		return
 	}
+	l.commitEnds(w, ends, 0, func() { w.nextListedAt = max(w.nextListedAt, sentAt) })
 }
 
 // joinObstacle is why the next incarnation of a worker cannot join yet, "" if it can.
@@ -224,7 +232,7 @@
 		return runsMayHaveStarted
 	case at > 0 && w.nextListedAt < at:
 		return endsNotListed
-	case w.committingEnds:
+	case w.committingEnds > 0:
 		return endsNotCommitted
 	case w.pendingTasks > 0:
 		return assignmentPending
--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -179,15 +179,25 @@
 	}{{1053, 0}, {30213, 3}} {
 		t.Run(fmt.Sprint("seed", c.seed), func(t *testing.T) {
 			t.Parallel()
-			runHistory(t, c.seed, c.relays, nil)
+			playHistory(newSimulation(t, c.seed), c.relays, nil)
 		})
 	}
 }
 
-// runHistory plays a random history with a number of relays, which fail as well. prepare, if not
-// nil, is called before it begins.
+// runHistory plays a random history with a number of relays, which fail as well, and with moments at which
+// the log takes no entries. prepare, if not nil, is called before it begins.
 func runHistory(t *testing.T, seed uint64, relays int, prepare func(sim *simulation)) {
 	sim := newSimulation(t, seed)
+	sim.injectLogOutages(historyTime)
+	playHistory(sim, relays, prepare)
+}
+
+// historyTime is the length of the part of a random history in which jobs and faults come.
+const historyTime = 25 * time.Second
+
+// playHistory plays a random history of the simulation's seed.
+func playHistory(sim *simulation, relays int, prepare func(sim *simulation)) {
+	t, seed := sim.t, sim.seed
 	var advice *job.Advice
 	if seed%2 == 0 {
 		advice = &job.Advice{PerCallMS: 10, PerWorkerMS: 0.2, ValidMS: 1500}
@@ -207,7 +217,7 @@
 		prepare(sim)
 	}
 	n := 0
-	for at := 200 * time.Millisecond; at < 25*time.Second; at += sim.between(50*time.Millisecond, 400*time.Millisecond) {
+	for at := 200 * time.Millisecond; at < historyTime; at += sim.between(50*time.Millisecond, 400*time.Millisecond) {
 		sim.run(at)
 		sim.submitRandomJob(n)
 		n++
--- a/coordination/jobs/liveness_test.go
+++ b/coordination/jobs/liveness_test.go
@@ -34,6 +34,7 @@
 
 func runUntilSettled(t *testing.T, seed uint64) {
 	sim := newSimulation(t, seed)
+	sim.injectLogOutages(20 * time.Second)
 	var advice *job.Advice
 	if seed%2 == 0 {
 		advice = &job.Advice{PerCallMS: 10, PerWorkerMS: 0.2, ValidMS: 1500}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -8,7 +8,7 @@
 // ends are being committed.
 func (l *Leader) observeIfDue(w *worker) {
 	needed := len(w.runs) > 0 || w.deliveredAck < w.rec.AckedEnd || w.observeAtOnce || w.misses > 0 && !w.unresponsive
-	if !needed || w.observing || w.committingEnds {
+	if !needed || w.observing || w.committingEnds > 0 {
 		return
 	}
 	if l.now < w.observeAt {
--- /dev/null
+++ b/coordination/jobs/refused_entry_test.go
@@ -0,0 +1,50 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// endsAsDone reports whether a command records the end of a run as done.
+func endsAsDone(c *job.Command) bool {
+	if c.EndRuns == nil {
+		return false
+	}
+	for i := range c.EndRuns.Runs {
+		if c.EndRuns.Runs[i].Kind == job.EndDone {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a task that is started again although it is done: its start reaches the next incarnation of
+// a worker, where the task ends, and the log takes no entry when that incarnation lists the end. The end is
+// acknowledged once the incarnation has joined, while the task runs elsewhere.
+func TestEndOnNextIncarnationCountsIfItIsRefusedOnce(t *testing.T) {
+	for _, refusals := range []int{1, 5} {
+		refused := 0
+		for seed := uint64(1); seed <= 20 && !t.Failed(); seed++ {
+			sim := newReadySimulation(t, seed, 2, nil)
+			sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 60)}})
+			ref := job.StepRef{Job: "r"}
+			for sim.leader.steps[ref] == nil || len(sim.leader.steps[ref].runs) == 0 {
+				sim.run(sim.now + time.Millisecond)
+			}
+			x := sim.workers[sim.state.Job("r").Task(job.TaskRef{StepRef: ref}).Worker+":1"]
+			x.startIncarnation(x.id) // the start is in flight
+			sim.log.refuseNext(refusals, endsAsDone)
+			sim.run(sim.now + 20*time.Second)
+			refused += sim.log.refused
+			if p := sim.phase("r"); p != job.Completed {
+				t.Errorf("seed %d: the job is %q", seed, p)
+			}
+			// The simulation fails the test if an end as done is acknowledged after a later start.
+		}
+		if refused == 0 {
+			t.Error("no entry was refused")
+		}
+	}
+}
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -226,7 +226,7 @@
 
 // endNotStarted commits the end of a run that has not started.
 func (l *Leader) endNotStarted(w *worker, r *run) {
-	l.commitEnds(w, []job.RunEnd{{TaskRef: r.ref, Run: r.number, Kind: job.EndNotStarted}}, 0)
+	l.commitEnds(w, []job.RunEnd{{TaskRef: r.ref, Run: r.number, Kind: job.EndNotStarted}}, 0, nil)
 	r.phase, r.stopped, r.phaseSince = stopping, true, l.now
 }
 
--- a/coordination/jobs/simulation_test.go
+++ b/coordination/jobs/simulation_test.go
@@ -71,6 +71,7 @@
 
 	teamOf func(id job.ID) string // team that submits a job, nil if the configuration has no teams
 
+	log        fakeLog
 	entries    messageQueue // proposals that wait for the next append
 	bounds     Bounds
 	leaderTime time.Duration // real time that the leader's decisions have taken
@@ -176,7 +177,7 @@
 
 // handle passes an event to the leader.
 func (sim *simulation) handle(e Event) {
-	if !sim.leaderActive {
+	if !sim.leaderActive || !sim.hasLease() && isCall(e) {
 		return
 	}
 	began := time.Now()
@@ -186,8 +187,15 @@
 	sim.work()
 }
 
+// hasLease reports whether the leader has a lease, without which its process answers no calls, commits no
+// entries and does not call its Tick method.
+func (sim *simulation) hasLease() bool { return sim.now >= sim.log.noLeaseUntil }
+
 // work sets the clock of the leader and calls its Tick method.
 func (sim *simulation) work() {
+	if !sim.hasLease() {
+		return
+	}
 	began := time.Now()
 	sim.leader.SetClock(sim.now, sim.wallMS())
 	sim.leader.Tick()
@@ -200,7 +208,7 @@
 	for sim.now < until && !sim.t.Failed() {
 		next := until
 		if sim.leaderActive {
-			next = min(next, max(sim.leader.NextTick(), sim.now+time.Millisecond))
+			next = min(next, max(sim.leader.NextTick(), sim.now+time.Millisecond, sim.log.noLeaseUntil))
 		}
 		if len(sim.queue) > 0 && sim.queue[0].at <= next {
 			e := heap.Pop(&sim.queue).(event)
@@ -323,12 +331,17 @@
 func (h *fakeHost) isCurrentTerm() bool { return h.sim.leaderActive && h.sim.term == h.term }
 
 func (h *fakeHost) Propose(c *job.Command, done func(a job.Applied, committed bool)) bool {
-	if !h.isCurrentTerm() {
+	sim := h.sim
+	if !h.isCurrentTerm() || sim.log.refusesEntry(sim.now, c) {
 		return false
 	}
-	sim := h.sim
 	commitsInNextTerm := sim.rng.IntN(2) == 0
-	commit := func() {
+	var commit func()
+	commit = func() {
+		if h.isCurrentTerm() && !sim.hasLease() {
+			sim.after(sim.log.noLeaseUntil-sim.now, commit)
+			return
+		}
 		if !h.isCurrentTerm() {
 			if commitsInNextTerm && !sim.leaderActive { // the next leader commits the command before its term starts
 				sim.apply(c)
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -62,13 +62,14 @@
 	departsUntil    time.Duration // time until which a worker that has deregistered gets no new work, 0 if it has not
 	nextListedAt    time.Duration // send time of the last observation to which the next incarnation listed its runs
 	nextJoinLog     time.Duration // earliest time of the next log line about an incarnation that cannot join
+	nextRefusedLog  time.Duration // earliest time of the next log line about ends of runs that were refused
 	observing       bool          // an observation is not answered yet
 	observeAtOnce   bool          // the next observation is needed even without runs and must be answered at once
 	observeAt       time.Duration // earliest time of the next observation
 	// stopsUnconfirmed is true if at the last observation a stop had not been confirmed for maxStopWait. The
 	// worker then gets no new work and no longer lease while it has runs.
 	stopsUnconfirmed bool
-	committingEnds   bool  // an EndRuns command is being committed
+	committingEnds   int   // number of EndRuns commands that are being committed
 	hasListed        bool  // the incarnation has listed its runs in this term
 	deliveredAck     int64 // number of the last end whose acknowledgement the worker has received
 	runs             map[job.TaskRef]*run
