--- a/coordination/jobs/leader_test.go
+++ b/coordination/jobs/leader_test.go
@@ -289,11 +289,9 @@
 	length := sim.between(500*time.Millisecond, 8*time.Second)
 	switch sim.rng.IntN(7) {
 	case 0:
-		sim.lostAnswerShare = 0.08
-		sim.after(length, func() { sim.lostAnswerShare = 0 })
+		sim.loseAnswers(length)
 	case 1:
-		x.partitioned = true
-		sim.after(length, func() { x.partitioned = false })
+		sim.partition(x, length)
 	case 2:
 		x.stopped, x.runs = true, map[job.TaskRef]*fakeRun{}
 		sim.after(length, func() {
@@ -313,10 +311,27 @@
 		x.stalled = true
 		sim.after(length, func() { x.stalled = false })
 	case 6:
-		if sim.leaderActive {
-			sim.endTerm()
-			sim.after(sim.between(300*time.Millisecond, 2*time.Second), sim.elect)
-		}
+		sim.changeLeader()
+	}
+}
+
+// loseAnswers lets a share of the orders be executed late and not answered, for a while.
+func (sim *simulation) loseAnswers(length time.Duration) {
+	sim.lostAnswerShare = 0.08
+	sim.after(length, func() { sim.lostAnswerShare = 0 })
+}
+
+// partition cuts off a worker for a while.
+func (sim *simulation) partition(x *fakeWorker, length time.Duration) {
+	x.partitioned = true
+	sim.after(length, func() { x.partitioned = false })
+}
+
+// changeLeader ends the term and elects a leader after a while, unless there is none.
+func (sim *simulation) changeLeader() {
+	if sim.leaderActive {
+		sim.endTerm()
+		sim.after(sim.between(300*time.Millisecond, 2*time.Second), sim.elect)
 	}
 }
 
