jobs: the end of a run is learnt from once

Cause: recordOutcome ran before the entry with the end was proposed, at each try. While the log took no entries, one run decided on the expected run time of its step and on the speed of its worker again and again. Change: it runs once the log has taken the entry.

--- a/coordination/jobs/ends.go
+++ b/coordination/jobs/ends.go
@@ -104,9 +104,6 @@
 // commit. onCommit, if not nil, is called once they are committed. It is not called if the log
 // takes no entry now: the runs stay assigned, and the caller has to learn of the ends again.
 func (l *Leader) commitEnds(w *worker, ends []job.RunEnd, ackedEnd int64, onCommit func()) {
-	for i := range ends {
-		l.recordOutcome(w, &ends[i])
-	}
 	runs := l.countGangFailuresOnce(w, ends)
 	cmd := &job.Command{EndRuns: &job.EndRuns{Incarnation: w.Incarnation, AtMS: l.wallMS, Runs: runs, AckedEnd: ackedEnd}}
 	ok := l.propose(cmd, func(_ job.Applied, committed bool) {
@@ -128,6 +125,9 @@
 		return
 	}
 	w.committingEnds++
+	for i := range ends {
+		l.recordOutcome(w, &ends[i])
+	}
 	for i := range runs {
 		if s := l.steps[runs[i].StepRef]; s != nil && s.spec.Gang && runs[i].Kind == job.EndFailed && w.isAssigned(&runs[i]) {
 			s.failedRun = max(s.failedRun, runs[i].Run)
@@ -182,8 +182,8 @@
 }
 
 // recordOutcome logs the end of a run and updates the failure streak and the estimated
-// speed of the worker. After a failure the step avoids the worker. It is called before the
-// end is committed.
+// speed of the worker. After a failure the step avoids the worker. It is called once for each run, when the
+// log has taken an entry with the end: until then the worker lists the end again.
 func (l *Leader) recordOutcome(w *worker, e *job.RunEnd) {
 	r := w.runs[e.TaskRef]
 	if r == nil || r.number != e.Run {
--- a/coordination/jobs/refused_entry_test.go
+++ b/coordination/jobs/refused_entry_test.go
@@ -48,3 +48,22 @@
 		}
 	}
 }
+
+// Guards against an end that is learnt from at each try: the worker lists it again as long as the log takes no
+// entry. One run would decide on the expected run time of its step, and on the speed of its worker.
+func TestRefusedEndIsLearntFromOnce(t *testing.T) {
+	sim := newReadySimulation(t, 21, 1, nil)
+	sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(2, 16, 300)}}) // one after the other
+	sim.log.refuseNext(8, endsAsDone)
+	ref := job.TaskRef{StepRef: job.StepRef{Job: "r"}}
+	isDone := func() bool { return sim.ackedDone[ref] }
+	if !sim.runUntil(10*time.Second, isDone) {
+		t.Fatal("the first task is not done")
+	}
+	if sim.log.refused != 8 {
+		t.Errorf("%d entries were refused", sim.log.refused)
+	}
+	if n := len(sim.leader.steps[ref.StepRef].workTimes); n != 1 {
+		t.Errorf("%d run times were learnt from one run", n)
+	}
+}
