jobs: maintenance that has started is recorded until the log takes it

Cause: the entry that a VM has had its maintenance was proposed once and without a look at the result. If it was refused, the platform was asked again for the same VM, which got no new work until then. Change: the entry is proposed again with each check; the VM is not requested again meanwhile. The same for a VM that a wave passes over.

--- a/coordination/jobs/refused_entry_test.go
+++ b/coordination/jobs/refused_entry_test.go
@@ -67,3 +67,19 @@
 		t.Errorf("%d run times were learnt from one run", n)
 	}
 }
+
+// Guards against a second request for the maintenance of a VM that has had it, and against a VM that is
+// withheld from work until then: the log takes no entry when the platform answers the first one.
+func TestMaintenanceIsRequestedOnceIfItsRecordIsRefused(t *testing.T) {
+	sim := newReadySimulation(t, 36, 4, nil)
+	sim.addVMs()
+	sim.log.refuseNext(6, func(c *job.Command) bool { return c.MaintenanceStarted != nil })
+	sim.startWave(1, 1, 30*time.Second, "vm-w0")
+	sim.run(sim.now + 10*time.Second)
+	if !sim.isWaveCompleted(1) || sim.vms.calls != 1 {
+		t.Errorf("wave completed: %v, %d requests", sim.isWaveCompleted(1), sim.vms.calls)
+	}
+	if sim.log.refused != 6 {
+		t.Errorf("%d entries were refused", sim.log.refused)
+	}
+}
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -29,6 +29,7 @@
 	refused     map[string]bool          // VMs whose last maintenance request was refused, and that no earlier one can have taken down
 	unanswered  map[string]time.Duration // time of the last maintenance request without an answer, which may have been executed
 	absentSince map[string]time.Duration // time since which the VM has had no worker
+	unrecorded  map[string]int           // number of the wave, for VMs that were taken down while the log took no entry that says so
 }
 
 // isCordoned reports whether a VM gets no new work.
@@ -81,9 +82,12 @@
 		return
 	}
 	if l.waves.inFlight == nil {
-		l.waves = waves{inFlight: map[string]int{}, downSince: map[string]time.Duration{}, nextAttempt: map[string]time.Duration{}, released: map[string]time.Duration{}, refused: map[string]bool{}, unanswered: map[string]time.Duration{}, absentSince: map[string]time.Duration{}}
+		l.waves = waves{inFlight: map[string]int{}, downSince: map[string]time.Duration{}, nextAttempt: map[string]time.Duration{}, released: map[string]time.Duration{}, refused: map[string]bool{}, unanswered: map[string]time.Duration{}, absentSince: map[string]time.Duration{}, unrecorded: map[string]int{}}
 		l.takeOverWaves(all)
 	}
+	for vm, number := range l.waves.unrecorded {
+		l.recordMaintenance(number, vm)
+	}
 	l.waves.cordoned, l.waves.requested = map[string]bool{}, map[string]bool{}
 	for _, w := range all {
 		for i := range w.Requests {
@@ -129,6 +133,7 @@
 		switch {
 		case l.isDown(vm):
 			busy++
+		case l.waves.unrecorded[vm] == wave.Number: // it has had its maintenance
 		case !done:
 			open = append(open, vm)
 		}
@@ -229,12 +234,23 @@
 		l.waves.absentSince[vm] = l.now
 		return
 	}
-	if l.now-since > vmAbsenceLimit {
+	if l.now-since > vmAbsenceLimit && l.recordMaintenance(wave.Number, vm) {
 		l.waves.absentSince[vm] = l.now
-		l.propose(&job.Command{MaintenanceStarted: &job.MaintenanceStarted{Wave: wave.Number, VM: vm}}, nil)
 	}
 }
 
+// recordMaintenance replicates that the maintenance of a VM has started, or that the wave passes it over. It
+// returns false if the log takes no entry now; the next check tries again. The platform is not asked again
+// meanwhile, since the answer to a repeated request does not say when the VM was taken down.
+func (l *Leader) recordMaintenance(wave int, vm string) bool {
+	if !l.propose(&job.Command{MaintenanceStarted: &job.MaintenanceStarted{Wave: wave, VM: vm}}, nil) {
+		l.waves.unrecorded[vm] = wave
+		return false
+	}
+	delete(l.waves.unrecorded, vm)
+	return true
+}
+
 // mayStartMaintenance reports whether a VM can be taken down now: its worker has no runs,
 // or no time is left to wait and no service loses more tasks than it allows.
 func (l *Leader) mayStartMaintenance(w *worker, slack time.Duration) bool {
@@ -307,7 +323,7 @@
 	}
 	l.waves.downSince[vm] = l.now
 	l.log("info", "maintenance", "", vm, "the VM is down for maintenance", "wave", e.Start.Wave)
-	l.propose(&job.Command{MaintenanceStarted: &job.MaintenanceStarted{Wave: e.Start.Wave, VM: vm}}, nil)
+	l.recordMaintenance(e.Start.Wave, vm)
 	l.vmWasDown(vm, e.Start.Worker)
 }
 
