jobs: final jobs are pruned although the log refuses that once

Cause: pruneJobs dropped the jobs from its list before it proposed to delete them. If that was refused, this leader never deleted them. Change: they are dropped once the log has taken the entry. Before: TestFinalJobsArePrunedIfThatIsRefusedOnce found the job kept.

--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/estimate"
@@ -237,15 +238,17 @@
 
 // pruneJobs deletes final jobs whose retention has expired.
 func (l *Leader) pruneJobs() {
-	var old []job.ID
-	for len(l.finalJobs) > 0 && len(old) < maxPrunedJobs && l.pruneAtMS[l.finalJobs[0]] <= l.wallMS {
-		id := l.finalJobs[0]
-		l.finalJobs = l.finalJobs[1:]
-		delete(l.pruneAtMS, id)
-		old = append(old, id)
+	n := 0
+	for n < min(len(l.finalJobs), maxPrunedJobs) && l.pruneAtMS[l.finalJobs[n]] <= l.wallMS {
+		n++
+	}
+	old := slices.Clone(l.finalJobs[:n])
+	if n == 0 || !l.propose(&job.Command{Prune: &job.Prune{Jobs: old}}, nil) {
+		return // if the log takes no entry now, the next check tries again
 	}
-	if len(old) > 0 {
-		l.propose(&job.Command{Prune: &job.Prune{Jobs: old}}, nil)
+	l.finalJobs = l.finalJobs[n:]
+	for _, id := range old {
+		delete(l.pruneAtMS, id)
 	}
 }
 
--- a/coordination/jobs/refused_entry_test.go
+++ b/coordination/jobs/refused_entry_test.go
@@ -83,3 +83,18 @@
 		t.Errorf("%d entries were refused", sim.log.refused)
 	}
 }
+
+// Guards against final jobs that are kept for good: the log takes no entry at the moment at which their
+// retention ends.
+func TestFinalJobsArePrunedIfThatIsRefusedOnce(t *testing.T) {
+	sim := newReadySimulation(t, 37, 1, nil)
+	sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 100)}})
+	sim.log.refuseNext(1, func(c *job.Command) bool { return c.Prune != nil })
+	sim.run(sim.now + sim.leader.retention() + 5*time.Second)
+	if sim.log.refused != 1 {
+		t.Errorf("%d entries were refused", sim.log.refused)
+	}
+	if sim.state.Job("r") != nil {
+		t.Error("the job is still kept")
+	}
+}
