--- a/coordination/jobs/withheld.go
+++ b/coordination/jobs/withheld.go
@@ -21,8 +21,8 @@
 )
 
 // releaseWithheldWorkers releases workers to steps that have waited for maxWithheldWait without a running task, and to
-// tasks of services, for which no other workers have room. It changes nothing in a pool that is mostly
-// in use, where steps wait for other reasons as well.
+// tasks of services, for which no other workers have room. In a pool that is mostly in use, where steps wait for
+// other reasons as well, it does so for services only: those run again beside room however full the pool is.
 func (l *Leader) releaseWithheldWorkers() {
 	if !slices.ContainsFunc(l.byID, func(w *worker) bool { return l.isWithheld(w) }) {
 		return
@@ -30,9 +30,8 @@
 	shares := poolShares{}
 	var waiting []*step
 	for _, s := range l.sortedSteps() {
-		_, idle := s.idleSince()
 		switch {
-		case !idle && !s.spec.Service || s.job.Phase.Final() || shares.of(l, s.queue.Pool).lowest >= busyShare:
+		case s.job.Phase.Final() || !s.spec.Service && !l.waitsInIdlePool(shares, s):
 			s.withheldWait = 0
 		case s.mayHaveWaiting(): // else its tasks are being started, and the starts may fail: the wait goes on
 			waiting = append(waiting, s)
@@ -45,6 +44,12 @@
 	}
 }
 
+// waitsInIdlePool reports whether no task of a step is known to run, and less than busyShare of its pool is used.
+func (l *Leader) waitsInIdlePool(shares poolShares, s *step) bool {
+	_, idle := s.idleSince()
+	return idle && shares.of(l, s.queue.Pool).lowest < busyShare
+}
+
 // releaseFor releases the withheld workers that a step needs, if it has waited for maxWithheldWait.
 func (l *Leader) releaseFor(s *step) {
 	needed := l.neededWithheldWorkers(s)
