--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -272,10 +272,14 @@
 	unavailableTasks, tasksOnWorker := 0, 0
 	for i := 0; i < s.spec.Count; i++ {
 		r := s.runs[i]
+		var on *worker
+		if r != nil {
+			on = l.holder(r)
+		}
 		switch {
-		case r != nil && l.holder(r) == w:
+		case r != nil && on == w:
 			tasksOnWorker++
-		case r != nil && l.isBeingTakenDown(l.holder(r)):
+		case l.isBeingTakenDown(on) || on != nil && !on.answers():
 			unavailableTasks++
 		case r == nil || r.phase != running || r.percent < 100 || l.now-r.progressAt < l.bounds.MinAvailableTime:
 			unavailableTasks++
@@ -284,6 +288,10 @@
 	return unavailableTasks+tasksOnWorker <= s.spec.Disruptions
 }
 
+// answers reports whether a worker has answered its last orders. Otherwise the runs that are assigned to it
+// may have ended, although they stay assigned until its lease has expired.
+func (w *worker) answers() bool { return w.misses == 0 && !w.unresponsive && !w.replaced }
+
 // isBeingTakenDown reports whether maintenance of the VM of a worker is being requested or has
 // started. w may be nil.
 func (l *Leader) isBeingTakenDown(w *worker) bool {
--- a/coordination/jobs/wave_test.go
+++ b/coordination/jobs/wave_test.go
@@ -184,3 +184,43 @@
 		})
 	}
 }
+
+// Guards against a wave that ends a task of a service while another one is on a worker that does not answer
+// any more, and counts as running until the lease of that worker has expired.
+func TestWaveCountsTasksOnWorkersThatDoNotAnswer(t *testing.T) {
+	for seed := uint64(38); seed < 44 && !t.Failed(); seed++ {
+		sim := newReadySimulation(t, seed, 4, nil)
+		sim.addVMs()
+		service := tasks(3, 4, 1000)
+		service.Service, service.Disruptions, service.MaxPerWorker = true, 1, 1
+		sim.submit("/u/", job.Submission{ID: "s", Steps: []job.Step{service}})
+		sim.run(sim.now + 2*sim.bounds.MinAvailableTime)
+		running := func() (n int, last *fakeWorker) {
+			for _, x := range sim.sorted() {
+				if len(x.runs) > 0 {
+					n, last = n+1, x
+				}
+			}
+			return n, last
+		}
+		n, lost := running()
+		if n != 3 {
+			t.Fatalf("%d tasks run", n)
+		}
+		sim.vms.onStart = func(vm string) {
+			if n, _ := running(); n < 2 {
+				sim.errorf("%d of 3 tasks run once %s has been taken down", n, vm)
+			}
+		}
+		lost.stopped, lost.runs = true, map[job.TaskRef]*fakeRun{}
+		var vms []string
+		for _, x := range sim.sorted() {
+			if x != lost {
+				vms = append(vms, x.vm)
+			}
+		}
+		sim.run(sim.now + 2*time.Second)
+		sim.startWave(1, 1, 20*time.Second, vms...)
+		sim.run(sim.now + 30*time.Second)
+	}
+}
