--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -75,6 +75,13 @@
 	x.stopped, x.isDraining, x.drainingSince = false, false, 0
 }
 
+// moveTo gives a worker another address.
+func (sim *simulation) moveTo(x *fakeWorker, address string) {
+	delete(sim.workers, x.address)
+	x.address = address
+	sim.workers[address] = x
+}
+
 func (x *fakeWorker) record() job.Worker {
 	return job.Worker{Incarnation: job.Incarnation{ID: x.id, StartedMS: x.startedMS}, Address: x.address, Pool: x.pool, Domain: x.domain, VM: x.vm, Capacity: x.capacity, Labels: x.labels}
 }
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -39,6 +39,15 @@
 	l.markForReconcile(w)
 }
 
+// address returns the address to which orders for a worker are sent. The next incarnation may have started
+// at another one than that of the replicated record.
+func (w *worker) address() string {
+	if w.replaced && w.nextAddress != "" {
+		return w.nextAddress
+	}
+	return w.rec.Address
+}
+
 // startMayBeInFlight reports whether the next incarnation may have received an order to start the
 // run, or may still receive one. An earlier leader knew which of its starts were not answered; the
 // record of an adopted run does not show them.
@@ -188,6 +197,9 @@
 func (l *Leader) nextObserved(w *worker, e *Observed) {
 	w.observing, w.observeAt = false, l.now
 	l.markForReconcile(w)
+	if e.Observe.Address != w.address() {
+		return // an incarnation has answered at another address since
+	}
 	switch e.Result {
 	case OrderDone:
 		if l.stopAgainIfRestarted(w, e) {
@@ -265,15 +277,16 @@
 }
 
 // mayAdmitIncarnation reports whether a new incarnation of a worker can join, which ends
-// all runs of the previous one. If it cannot join yet, the previous one is marked as
+// all runs of the previous one. It has answered a poll at its address. If it cannot join yet, the previous one is marked as
 // replaced, so that it gets no more work and the remaining runs are stopped. While an
 // assignment to it is being committed, the new incarnation cannot join: the commit would send
 // the starts, which the new incarnation executes.
-func (l *Leader) mayAdmitIncarnation(id string) bool {
+func (l *Leader) mayAdmitIncarnation(id, address string) bool {
 	w := l.workers[id]
 	if w == nil {
 		return true
 	}
+	w.nextAddress = address
 	obstacle := l.obstacleToJoin(w)
 	if obstacle == "" {
 		return true
--- a/coordination/jobs/join.go
+++ b/coordination/jobs/join.go
@@ -94,7 +94,7 @@
 		}
 		c.reply(false)
 		return
-	case known != nil && !l.mayAdmitIncarnation(known.ID):
+	case known != nil && !l.mayAdmitIncarnation(known.ID, c.worker.Address):
 		c.reply(false)
 		return
 	}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -102,13 +102,16 @@
 		return
 	}
 	w := l.workers[e.Observe.Worker.ID]
-	if w == nil || w.Incarnation != e.Observe.Worker || w.rec.Address != e.Observe.Address {
+	if w == nil || w.Incarnation != e.Observe.Worker {
 		return // the worker has been removed or replaced
 	}
 	if e.Observe.NextIncarnation {
 		l.nextObserved(w, &e)
 		return
 	}
+	if w.rec.Address != e.Observe.Address {
+		return // the incarnation has joined at another address since
+	}
 	w.observing = false
 	w.observeAt = l.now
 	l.markForReconcile(w)
--- a/coordination/jobs/relay.go
+++ b/coordination/jobs/relay.go
@@ -127,7 +127,7 @@
 // newOrder returns the common fields of an order to a worker.
 func (l *Leader) newOrder(w *worker) Order {
 	l.relays.lastID++
-	return Order{ID: l.relays.lastID, Relay: l.relays.choose(w, l.now), Worker: w.Incarnation, Address: w.rec.Address, Term: l.term, SentAt: l.now}
+	return Order{ID: l.relays.lastID, Relay: l.relays.choose(w, l.now), Worker: w.Incarnation, Address: w.address(), Term: l.term, SentAt: l.now}
 }
 
 // sendOrder emits an order, whose worker may wait for a time before it answers.
--- a/coordination/jobs/restart_outage_test.go
+++ b/coordination/jobs/restart_outage_test.go
@@ -64,19 +64,32 @@
 	case 0:
 		sim.loseAnswers(length)
 	case 1:
-		sim.partition(sim.pickWorker(), length)
+		sim.partition(sim.anyWorker(), length)
 	case 2:
 		sim.changeLeader()
 	}
 }
 
-// crashOne lets a random worker end and start again under its ID. It takes as long as workers do at least, and
+// anyWorker returns a random worker, whatever its address.
+func (sim *simulation) anyWorker() *fakeWorker {
+	all := sim.sorted()
+	return all[sim.rng.IntN(len(all))]
+}
+
+// crashOne lets a random worker end and start again under its ID, sometimes at another address. It takes as long as workers do at least, and
 // as messages to and from them are on their way.
 func (sim *simulation) crashOne() {
-	x := sim.pickWorker()
+	x := sim.anyWorker()
 	if x.stopped {
 		return
 	}
 	x.stopped, x.runs = true, map[job.TaskRef]*fakeRun{}
-	sim.after(minRestartTime+sim.between(20*time.Millisecond, 70*time.Millisecond), func() { x.startIncarnation(x.id) })
+	address := x.address
+	if sim.rng.IntN(4) == 0 {
+		address = fmt.Sprint(x.id, ":", sim.rng.IntN(3))
+	}
+	sim.after(minRestartTime+sim.between(20*time.Millisecond, 70*time.Millisecond), func() {
+		sim.moveTo(x, address)
+		x.startIncarnation(x.id)
+	})
 }
--- a/coordination/jobs/restart_test.go
+++ b/coordination/jobs/restart_test.go
@@ -90,3 +90,33 @@
 		})
 	}
 }
+
+// Guards against a worker that restarts under its ID at another address and is not let in until the longest
+// late start has expired: the stop of a run that it may have started was sent to its earlier address.
+func TestWorkerThatRestartsAtAnotherAddressIsLetIn(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		newTerm bool // the leader changes before the restart, so that all runs may be started late
+	}{{"its last start was not listed", false}, {"the leader has changed", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newReadySimulation(t, 303, 2, nil)
+			x, ref := sim.startOne("r", 20_000)
+			if c.newTerm {
+				sim.run(sim.now + time.Second)
+				sim.endTerm()
+				sim.elect()
+				sim.run(sim.now + 500*time.Millisecond)
+			}
+			x.stopped, x.runs = true, map[job.TaskRef]*fakeRun{}
+			sim.run(sim.now + 800*time.Millisecond)
+			sim.moveTo(x, x.id+":2")
+			x.startIncarnation(x.id)
+			began := sim.now
+			isStartedAgain := func() bool { return sim.highestStart[ref] > 1 }
+			const bound = joinBound + idleLimit
+			if !sim.runUntil(40*time.Second, func() bool { return sim.isUsed(x) && isStartedAgain() }) || sim.now-began > bound {
+				t.Errorf("the worker is used %v and the task has started again %v after %v", sim.isUsed(x), isStartedAgain(), sim.now-began)
+			}
+		})
+	}
+}
--- a/coordination/jobs/unbounded_wait_test.go
+++ b/coordination/jobs/unbounded_wait_test.go
@@ -75,9 +75,7 @@
 	sim := newReadySimulation(t, 300, 2, nil)
 	sim.run(3 * time.Second)
 	x := sim.workers["w0:1"]
-	delete(sim.workers, x.address)
-	x.address = "w0:2"
-	sim.workers[x.address] = x
+	sim.moveTo(x, "w0:2")
 	x.restartAt("w0", -5*time.Second)
 	began := sim.now
 	if !sim.runUntil(60*time.Second, func() bool { return sim.isUsed(x) }) {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -59,6 +59,7 @@
 	committingLeave bool          // a Leave command is being committed
 	replaced        bool          // the incarnation is known to have ended: another one has answered
 	replacedAt      time.Duration // time from which that is known
+	nextAddress     string        // address at which the next incarnation has answered a poll, "" if none has
 	departsUntil    time.Duration // time until which a worker that has deregistered gets no new work, 0 if it has not
 	nextListedAt    time.Duration // send time of the last observation to which the next incarnation listed its runs
 	nextJoinLog     time.Duration // earliest time of the next log line about an incarnation that cannot join
