--- a/coordination/jobgroup_test.go
+++ b/coordination/jobgroup_test.go
@@ -71,6 +71,8 @@
 			}
 		case Persist:
 			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, Persisted{Group: e.Group, Batch: e.Batch}})
+		case SaveSnapshot:
+			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, SnapshotSaved{Group: e.Group, Snapshot: e.Snapshot}})
 		case Reply:
 			g.answers[e.Token] = e.Answer
 		case JobEffect:
@@ -226,3 +228,31 @@
 		}
 	}
 }
+
+// Guards against members that run out of memory or disk: the log holds hundreds of large configurations, since
+// snapshots were due by the number of entries only.
+func TestLargeConfigurationsAreCompacted(t *testing.T) {
+	const changes, documentBytes = 200, 300_000
+	g := newJobGroupTest(t)
+	g.run(2 * time.Second)
+	l := g.leader()
+	if l < 0 {
+		t.Fatal("no leader after 2 s")
+	}
+	for v := int64(1); v <= changes; v++ {
+		g.call(l, Token(v), jobs.Configure{Token: jobs.Token(v), Configuration: job.Configuration{
+			Version: v, Document: make([]byte, documentBytes), Pools: []job.Pool{{Name: "p"}},
+			Queues: []job.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", MaxAttempts: 2, TimeoutMS: 3000}},
+		}})
+		g.run(50 * time.Millisecond)
+		for i := range g.nodes {
+			// The entries since the last snapshot, those kept before it, and those that come while it is saved.
+			if b := g.nodes[i].replicas[JobGroup].raft.LogBytes(); b > 32<<20 {
+				t.Fatalf("member %d holds entries of %d bytes after %d changes", i, b, v)
+			}
+		}
+	}
+	if v := g.nodes[l].replicas[JobGroup].jobs.Configuration().Version; v != changes {
+		t.Errorf("version %d is in force", v)
+	}
+}
--- a/coordination/replica.go
+++ b/coordination/replica.go
@@ -9,9 +9,15 @@
 	"github.com/primrosereach/primrosereach/state/job"
 )
 
-// snapshotInterval is the number of applied entries after which a snapshot is taken.
-// It bounds the entries that are applied again at a restart.
-const snapshotInterval = 4096
+const (
+	// snapshotInterval is the number of applied entries after which a snapshot is taken.
+	// It bounds the entries that are applied again at a restart.
+	snapshotInterval = 4096
+	// snapshotBytes is the estimated size in bytes of the applied entries after which a snapshot
+	// is taken. It bounds the memory and the disk that large entries use: configurations may have
+	// hundreds of kilobytes, and the smallest disk has 128 MB.
+	snapshotBytes = 16 << 20
+)
 
 // proposal is an entry whose outcome is pending. done is called when the entry is
 // applied, or with committed false when the replica can no longer determine whether
@@ -32,6 +38,7 @@
 	proposals            map[uint64]proposal // pending proposals of this member, by log index
 	leaderState          *leadership         // nil unless this member leads and has applied all earlier entries
 	appliedSinceSnapshot int                 // entries applied since the last snapshot
+	bytesSinceSnapshot   int                 // estimated size of these entries in bytes
 	savingSnapshot       bool                // a snapshot is being written to disk
 	appliedTerm          uint64              // term of the last applied entry
 	loggedLeader         string              // leader in the last log line about it
@@ -149,7 +156,7 @@
 		for i := range rd.Committed {
 			n.apply(r, &rd.Committed[i])
 		}
-		if r.appliedSinceSnapshot >= snapshotInterval && !r.savingSnapshot {
+		if r.snapshotIsDue() && !r.savingSnapshot {
 			n.snapshot(r)
 		}
 	}
@@ -161,7 +168,7 @@
 func (n *Node) persist(r *replica, rd *replication.Ready) {
 	if rd.Snapshot != nil {
 		r.reset(rd.Snapshot)
-		r.appliedSinceSnapshot = 0
+		r.appliedSinceSnapshot, r.bytesSinceSnapshot = 0, 0
 		n.log("info", "install snapshot", "", "group "+r.group+" restored from a snapshot of the leader")
 	}
 	switch {
@@ -194,6 +201,12 @@
 		p.done(a, p.term == e.Term)
 	}
 	r.appliedSinceSnapshot++
+	r.bytesSinceSnapshot += replication.EntrySize(e)
+}
+
+// snapshotIsDue reports whether enough entries were applied since the last snapshot to take one.
+func (r *replica) snapshotIsDue() bool {
+	return r.appliedSinceSnapshot >= snapshotInterval || r.bytesSinceSnapshot >= snapshotBytes
 }
 
 // snapshot takes a snapshot of the applied state and requests that it be stored. A
@@ -209,7 +222,7 @@
 	default:
 		s.Jobs = r.jobs.Snapshot()
 	}
-	r.appliedSinceSnapshot = 0
+	r.appliedSinceSnapshot, r.bytesSinceSnapshot = 0, 0
 	if !n.self.Disk {
 		r.raft.SnapshotTaken(s)
 		return
--- a/coordination/replication/append.go
+++ b/coordination/replication/append.go
@@ -122,7 +122,7 @@
 	size := 0
 	es := g.log.slice(next-1, min(g.log.last(), next-1+maxBatchEntries))
 	for i := range es {
-		size += entrySize(&es[i])
+		size += EntrySize(&es[i])
 		if size >= maxBatchBytes {
 			return es[: i+1 : i+1]
 		}
@@ -251,7 +251,7 @@
 	}
 	for _, e := range g.log.slice(g.commit, index) {
 		if e.Term == g.term {
-			g.uncommittedBytes = max(0, g.uncommittedBytes-entrySize(&e))
+			g.uncommittedBytes = max(0, g.uncommittedBytes-EntrySize(&e))
 		}
 	}
 	g.commit = index
--- a/coordination/replication/group.go
+++ b/coordination/replication/group.go
@@ -349,7 +349,7 @@
 		return 0, 0, ErrTooManyPending
 	}
 	e := state.Entry{Index: g.log.last() + 1, Term: g.term, Command: cmd}
-	g.uncommittedBytes += entrySize(&e)
+	g.uncommittedBytes += EntrySize(&e)
 	g.appendEntries(e)
 	return e.Index, e.Term, nil
 }
--- a/coordination/replication/log.go
+++ b/coordination/replication/log.go
@@ -80,12 +80,11 @@
 }
 
 // entryOverhead is the estimated size of an entry without its payload, in bytes.
-// Only flow control uses it.
 const entryOverhead = 256
 
-// entrySize estimates the encoded size of an entry in bytes. This package does not
-// depend on the encoding, and flow control does not need the exact size.
-func entrySize(e *state.Entry) int {
+// EntrySize estimates the encoded size of an entry in bytes. This package does not
+// depend on the encoding, and neither flow control nor compaction needs the exact size.
+func EntrySize(e *state.Entry) int {
 	n := entryOverhead
 	switch c := &e.Command; {
 	case c.Accept != nil:
--- a/coordination/replication/ready.go
+++ b/coordination/replication/ready.go
@@ -92,9 +92,13 @@
 	g.send(state.Member{Name: m.From, Incarnation: m.FromIncarnation, Address: m.FromAddress}, r)
 }
 
-// compactionTail is the number of entries kept before a snapshot, so that a
-// follower that was disconnected for a short time needs no snapshot.
-const compactionTail = 1024
+const (
+	// compactionTail is the number of entries kept before a snapshot, so that a
+	// follower that was disconnected for a short time needs no snapshot.
+	compactionTail = 1024
+	// compactionTailBytes bounds the estimated size in bytes of these entries.
+	compactionTailBytes = 4 << 20
+)
 
 // SnapshotHeader returns a snapshot without state for the last entry that Ready
 // returned in Committed. The caller adds the state as of that entry.
@@ -109,17 +113,28 @@
 	return s
 }
 
+// compactionIndex returns the index up to which the log is compacted after a snapshot at an index.
+func (g *Group) compactionIndex(snapshot uint64) uint64 {
+	index, size := min(snapshot, g.log.last()), 0
+	for index > g.log.offset && snapshot-index < compactionTail {
+		size += EntrySize(&g.log.entries[index-g.log.offset-1])
+		if size > compactionTailBytes {
+			break
+		}
+		index--
+	}
+	return max(index, g.log.offset)
+}
+
 // SnapshotTaken reports that a snapshot made from SnapshotHeader has been saved. The
-// log is compacted up to the snapshot, except for the last compactionTail entries. A
-// snapshot that is not newer than the one already known is ignored.
+// log is compacted up to the snapshot, except for the last compactionTail entries, or
+// for fewer if these exceed compactionTailBytes. A snapshot that is not newer than the one already known is ignored.
 func (g *Group) SnapshotTaken(s *state.Snapshot) {
 	if s.Index > g.applied || g.snapshot != nil && s.Index <= g.snapshot.Index {
 		return
 	}
 	g.snapshot = s
-	if s.Index > compactionTail {
-		g.log.compact(max(g.log.offset, s.Index-compactionTail))
-	}
+	g.log.compact(g.compactionIndex(s.Index))
 	for len(g.memberships) > 1 && g.memberships[1].index <= g.log.offset {
 		g.pruneMemberships(1)
 	}
--- a/coordination/replication/status.go
+++ b/coordination/replication/status.go
@@ -84,6 +84,15 @@
 	return g.memberships[len(g.memberships)-1].index
 }
 
+// LogBytes returns the estimated size in bytes of the entries that are held in memory.
+func (g *Group) LogBytes() int {
+	n := 0
+	for i := range g.log.entries {
+		n += EntrySize(&g.log.entries[i])
+	}
+	return n
+}
+
 // Status returns the status of this replica at the given time.
 func (g *Group) Status(now time.Duration) Status {
 	s := Status{
