jobs: a delayed acknowledgement goes out with the answer to the start

Cause: while a start was in flight, ends that could not be acknowledged yet let the leader poll the worker each 20 ms. Many workers that are slow to answer starts would have cost it thousands of polls a second. Change: the next poll follows the answer to the start, or 100 ms.

--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -67,9 +67,9 @@
 	return l.now-w.listedAt < minRestartTime
 }
 
-// ackRetry is the delay before the next observation of a worker whose ends are not acknowledged yet because
-// a start is in flight. It is longer than most starts take to be answered.
-const ackRetry = 20 * time.Millisecond
+// ackRetry is the longest delay before the next observation of a worker whose ends are not acknowledged yet
+// because a start is in flight. The answer to the start ends it.
+const ackRetry = 100 * time.Millisecond
 
 // hasStartInFlight reports whether a start of a run has not been answered yet that the worker has not listed.
 func (w *worker) hasStartInFlight() bool {
@@ -123,7 +123,7 @@
 		w.unresponsive, w.misses, w.hasListed, w.deliveredAck = false, 0, true, max(w.deliveredAck, e.Observe.AckedEnd)
 		w.recordAnswer(l.now, e.ClockMS)
 		w.listedAt = l.now
-		if w.deliveredAck < w.rec.AckedEnd && w.hasStartInFlight() {
+		if w.ackDelayed = w.deliveredAck < w.rec.AckedEnd && w.hasStartInFlight(); w.ackDelayed {
 			w.observeAt = l.now + ackRetry
 		}
 		l.reconcileRuns(w, &e)
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -126,6 +126,9 @@
 		l.checkClock(w, o, clockMS)
 		w.recordAnswer(l.now, clockMS)
 	}
+	if w.ackDelayed && !w.observing {
+		w.ackDelayed, w.observeAt = false, l.now
+	}
 	if result.isUnknown() {
 		w.hasListed = false // the next incarnation may execute the order
 	}
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -73,6 +73,7 @@
 	committingEnds   int           // number of EndRuns commands that are being committed
 	hasListed        bool          // the incarnation has listed its runs in this term
 	listedAt         time.Duration // time of the last answer with which it did
+	ackDelayed       bool          // the next observation is delayed until a start in flight is answered
 	deliveredAck     int64         // number of the last end whose acknowledgement the worker has received
 	runs             map[job.TaskRef]*run
 	pendingAmount    resource.Amount // capacity of assignments that are being committed
