jobs: calls are resolved and authenticated in one place

Submit, Lookup, Cancel and DryRun repeated the same steps. The state of waves is built by newWaves. Tests that need a start in flight share sendStart.

--- a/coordination/jobs/calls.go
+++ b/coordination/jobs/calls.go
@@ -36,15 +36,30 @@
 	return q, job.ID(strings.Trim(rest, "/"))
 }
 
-func (l *Leader) submit(e Submit) {
-	q, id := l.resolve(e.Token, e.Host, e.Path)
+// jobCall is a call about a job or a queue that may be performed.
+type jobCall struct {
+	queue *job.Queue
+	id    job.ID // from the path, "" for a call about the queue
+	team  string // team that the call belongs to, "" if it needs none
+}
+
+// resolveCall resolves and authenticates a call. If it may not be performed, it answers the call and returns
+// false.
+func (l *Leader) resolveCall(t Token, host, path string, credential Credential) (jobCall, bool) {
+	q, id := l.resolve(t, host, path)
 	if q == nil {
-		return
+		return jobCall{}, false
 	}
-	team, ok := l.authenticate(e.Token, q, e.Credential)
+	team, ok := l.authenticate(t, q, credential)
+	return jobCall{q, id, team}, ok
+}
+
+func (l *Leader) submit(e Submit) {
+	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
 	if !ok {
 		return
 	}
+	q, id, team := c.queue, c.id, c.team
 	e.Submission.ID = id
 	if j := l.state.Job(id); j != nil {
 		if !l.authorize(e.Token, team, j) {
@@ -102,14 +117,11 @@
 }
 
 func (l *Leader) lookup(e Lookup) {
-	q, id := l.resolve(e.Token, e.Host, e.Path)
-	if q == nil {
-		return
-	}
-	team, ok := l.authenticate(e.Token, q, e.Credential)
+	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
 	if !ok {
 		return
 	}
+	q, id, team := c.queue, c.id, c.team
 	if id == "" {
 		n := 0
 		for _, name := range l.queued {
@@ -131,14 +143,11 @@
 }
 
 func (l *Leader) cancel(e Cancel) {
-	q, id := l.resolve(e.Token, e.Host, e.Path)
-	if q == nil {
-		return
-	}
-	team, ok := l.authenticate(e.Token, q, e.Credential)
+	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
 	if !ok {
 		return
 	}
+	id, team := c.id, c.team
 	j := l.state.Job(id)
 	switch {
 	case j == nil:
--- a/coordination/jobs/dryrun.go
+++ b/coordination/jobs/dryrun.go
@@ -55,14 +55,11 @@
 
 // dryRun answers with the decisions about a job. It uses the functions that decide about jobs.
 func (l *Leader) dryRun(e DryRun) {
-	q, id := l.resolve(e.Token, e.Host, e.Path)
-	if q == nil {
-		return
-	}
-	team, ok := l.authenticate(e.Token, q, e.Credential)
+	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
 	if !ok {
 		return
 	}
+	q, id, team := c.queue, c.id, c.team
 	e.Submission.ID = id
 	out := &DryRunResult{Queue: q.Name, Pool: q.Pool, Team: team}
 	l.dryRunAdmission(out, q, &e.Submission)
--- a/coordination/jobs/incarnation_test.go
+++ b/coordination/jobs/incarnation_test.go
@@ -60,13 +60,8 @@
 func TestEndOnNextIncarnationCounts(t *testing.T) {
 	for seed := uint64(1); seed <= 20 && !t.Failed(); seed++ {
 		sim := newReadySimulation(t, seed, 2, nil)
-		sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 60)}})
-		ref := job.StepRef{Job: "r"}
-		for sim.leader.steps[ref] == nil || len(sim.leader.steps[ref].runs) == 0 {
-			sim.run(sim.now + time.Millisecond)
-		}
-		x := sim.workers[sim.state.Job("r").Task(job.TaskRef{StepRef: ref}).Worker+":1"]
-		x.startIncarnation(x.id) // the start is in flight
+		x := sim.sendStart("r", 60)
+		x.startIncarnation(x.id)
 		sim.run(sim.now + 20*time.Second)
 		if p := sim.phase("r"); p != job.Completed {
 			t.Errorf("seed %d: the job is %q", seed, p)
@@ -104,6 +99,20 @@
 	return &StartRun{Order: Order{Worker: x.record().Incarnation, Address: x.address, Term: term}, TaskRef: ref, Run: 1, UntilMS: x.clock() + 5000}
 }
 
+// sendStart submits a job of one task and runs the simulation until its start is in flight to the worker that
+// it returns.
+func (sim *simulation) sendStart(id job.ID, estimateMS int64) *fakeWorker {
+	sim.submit("/b/", job.Submission{ID: id, Steps: []job.Step{tasks(1, 2, estimateMS)}})
+	ref := job.StepRef{Job: id}
+	isAssigned := func() bool { return sim.leader.steps[ref] != nil && len(sim.leader.steps[ref].runs) > 0 }
+	for end := sim.now + 5*time.Second; !isAssigned(); sim.run(sim.now + time.Millisecond) {
+		if sim.now >= end || sim.t.Failed() {
+			sim.t.Fatalf("job %s is not assigned", id)
+		}
+	}
+	return sim.workers[sim.state.Job(id).Task(job.TaskRef{StepRef: ref}).Worker+":1"]
+}
+
 // startOne submits a job of one task and runs the simulation until the task runs.
 func (sim *simulation) startOne(id job.ID, estimateMS int64) (*fakeWorker, job.TaskRef) {
 	ref := job.TaskRef{StepRef: job.StepRef{Job: id}}
--- a/coordination/jobs/refused_entry_test.go
+++ b/coordination/jobs/refused_entry_test.go
@@ -28,13 +28,8 @@
 		refused := 0
 		for seed := uint64(1); seed <= 20 && !t.Failed(); seed++ {
 			sim := newReadySimulation(t, seed, 2, nil)
-			sim.submit("/b/", job.Submission{ID: "r", Steps: []job.Step{tasks(1, 2, 60)}})
-			ref := job.StepRef{Job: "r"}
-			for sim.leader.steps[ref] == nil || len(sim.leader.steps[ref].runs) == 0 {
-				sim.run(sim.now + time.Millisecond)
-			}
-			x := sim.workers[sim.state.Job("r").Task(job.TaskRef{StepRef: ref}).Worker+":1"]
-			x.startIncarnation(x.id) // the start is in flight
+			x := sim.sendStart("r", 60)
+			x.startIncarnation(x.id)
 			sim.log.refuseNext(refusals, endsAsDone)
 			sim.run(sim.now + 20*time.Second)
 			refused += sim.log.refused
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -32,6 +32,14 @@
 	unrecorded  map[string]int           // number of the wave, for VMs that were taken down while the log took no entry that says so
 }
 
+func newWaves() waves {
+	return waves{
+		inFlight: map[string]int{}, downSince: map[string]time.Duration{}, nextAttempt: map[string]time.Duration{},
+		released: map[string]time.Duration{}, refused: map[string]bool{}, unanswered: map[string]time.Duration{},
+		absentSince: map[string]time.Duration{}, unrecorded: map[string]int{},
+	}
+}
+
 // isCordoned reports whether a VM gets no new work.
 func (w *waves) isCordoned(vm string) bool { return vm != "" && w.cordoned[vm] }
 
@@ -82,7 +90,7 @@
 		return
 	}
 	if l.waves.inFlight == nil {
-		l.waves = waves{inFlight: map[string]int{}, downSince: map[string]time.Duration{}, nextAttempt: map[string]time.Duration{}, released: map[string]time.Duration{}, refused: map[string]bool{}, unanswered: map[string]time.Duration{}, absentSince: map[string]time.Duration{}, unrecorded: map[string]int{}}
+		l.waves = newWaves()
 		l.takeOverWaves(all)
 	}
 	for vm, number := range l.waves.unrecorded {
