--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -276,11 +276,11 @@
 	return ""
 }
 
-// mayAdmitIncarnation reports whether a new incarnation of a worker can join, which ends
-// all runs of the previous one. It has answered a poll at its address. If it cannot join yet, the previous one is marked as
-// replaced, so that it gets no more work and the remaining runs are stopped. While an
-// assignment to it is being committed, the new incarnation cannot join: the commit would send
-// the starts, which the new incarnation executes.
+// mayAdmitIncarnation reports whether a new incarnation of a worker, which has answered a poll at
+// the address, can join, which ends all runs of the previous one. If it cannot join yet, the
+// previous one is marked as replaced, so that it gets no more work and the remaining runs are
+// stopped. While an assignment to it is being committed, the new incarnation cannot join: the
+// commit would send the starts, which the new incarnation executes.
 func (l *Leader) mayAdmitIncarnation(id, address string) bool {
 	w := l.workers[id]
 	if w == nil {
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -33,10 +33,9 @@
 // shows that the worker has received that, and neither after an order without an answer nor before the
 // incarnation has listed its runs in this term: the worker may have restarted under its ID, and the next
 // incarnation, which numbers its ends from 1 again, would not list those up to the acknowledged one. For the
-// same reason it waits until a start in flight is answered, which the next incarnation may have executed, and
-// the worker does not wait for further ends before it answers if it may have restarted since its last answer. The
-// lease of a worker that missed an answer is not extended until the worker answers, so that its runs end
-// if it stays unreachable.
+// same reason the acknowledgement waits until a start in flight is answered, which the next incarnation may
+// have executed. The lease of a worker that missed an answer is not extended until the worker answers, so
+// that its runs end if it stays unreachable.
 func (l *Leader) observe(w *worker) {
 	e := Observe{Order: l.newOrder(w)}
 	if w.deliveredAck < w.rec.AckedEnd && w.misses == 0 && w.hasListed && !w.hasStartInFlight() {
@@ -53,13 +52,13 @@
 	l.sendOrder(e, time.Duration(e.WaitMS)*time.Millisecond)
 }
 
-// minRestartTime is the shortest time in which a worker restarts under its ID.
+// minRestartTime is the time within which no worker restarts under its ID.
 const minRestartTime = 30 * time.Millisecond
 
-// mayWaitForEnds reports whether a worker may delay its answer to an observation that acknowledges ends, or
-// none if ackedEnd is 0. It answers at once while ends are not acknowledged. A start that an incarnation
-// executes while it delays its answer would end with a number that the observation acknowledges, if that
-// incarnation is not the one that has listed the ends.
+// mayWaitForEnds reports whether a worker may delay its answer to an observation until further runs end.
+// ackedEnd is the last end that the observation acknowledges, 0 for none. A worker with ends that are not
+// acknowledged lists them at once. While it receives the acknowledgement it may only wait if it has just
+// answered: otherwise its next incarnation may receive it, end a run during the wait, and drop that end.
 func (l *Leader) mayWaitForEnds(w *worker, ackedEnd int64) bool {
 	if ackedEnd == 0 {
 		return w.deliveredAck >= w.rec.AckedEnd
--- a/coordination/replication/ready.go
+++ b/coordination/replication/ready.go
@@ -128,7 +128,8 @@
 
 // SnapshotTaken reports that a snapshot made from SnapshotHeader has been saved. The
 // log is compacted up to the snapshot, except for the last compactionTail entries, or
-// for fewer if these exceed compactionTailBytes. A snapshot that is not newer than the one already known is ignored.
+// for fewer if these exceed compactionTailBytes. A snapshot that is not newer than the
+// one already known is ignored.
 func (g *Group) SnapshotTaken(s *state.Snapshot) {
 	if s.Index > g.applied || g.snapshot != nil && s.Index <= g.snapshot.Index {
 		return
