--- a/coordination/jobgroup_test.go
+++ b/coordination/jobgroup_test.go
@@ -72,7 +72,7 @@
 		case Persist:
 			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, Persisted{Group: e.Group, Batch: e.Batch}})
 		case SaveSnapshot:
-			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, SnapshotSaved{Group: e.Group, Snapshot: e.Snapshot}})
+			g.pending = append(g.pending, delivery{g.now + syncTime, i, i, SnapshotSaved(e)})
 		case Reply:
 			g.answers[e.Token] = e.Answer
 		case JobEffect:
