jobs: acknowledgements do not wait for starts in flight

The failures that had called for them were those of the simulated worker, which executed an acknowledgement again when it answered after a wait; "Ends up to ackSeq are forgotten" with the call, as in the soak's stand-in.

--- a/coordination/jobs/fake_worker_test.go
+++ b/coordination/jobs/fake_worker_test.go
@@ -230,6 +230,12 @@
 		x.ackEnd(&x.ended[0])
 		x.ended = x.ended[1:]
 	}
+	return x.list(e)
+}
+
+// list returns the answer to an observation. A worker that has waited for an end does not execute the
+// acknowledgement again.
+func (x *fakeWorker) list(e *Observe) Event {
 	// The worker does not know for which incarnation the observation was meant.
 	if r := x.checkIncarnation(e.Order, OrderDone); r != OrderDone && !e.NextIncarnation {
 		return Observed{Observe: *e, Result: r, ClockMS: x.clock()}
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -66,30 +66,6 @@
 	}
 }
 
-// checkClock polls a worker at once if the clock in the answer to a start or stop is that of an incarnation
-// which started later than the known one: the answers to these orders do not name their incarnation. No ends
-// are acknowledged until the poll is answered, since the next incarnation would take them for its own.
-func (l *Leader) checkClock(w *worker, o Order, clockMS int64) {
-	if w.replaced || clockMS == 0 || clockMS+clockResolutionMS >= w.earliestClock(o.SentAt) {
-		return
-	}
-	w.hasListed = false
-	l.observeIncarnation(w)
-}
-
-// earliestClock returns a lower bound of the clock, in milliseconds, with which the incarnation answers an
-// order that was sent at a time, 0 if none is known. It rests on the incarnation's answers only.
-func (w *worker) earliestClock(sentAt time.Duration) int64 {
-	if w.answerClockMS == 0 {
-		return 0
-	}
-	elapsed := float64((sentAt - w.answeredAt).Milliseconds())
-	if elapsed < 0 {
-		return w.answerClockMS + int64(elapsed*(1+clockDrift))
-	}
-	return w.answerClockMS + int64(elapsed*(1-clockDrift))
-}
-
 // clockResolutionMS is the resolution of workers' clocks in milliseconds.
 const clockResolutionMS = 1
 
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -32,54 +32,25 @@
 // observe polls a worker for its running tasks and ended runs. It acknowledges ends only until an answer
 // shows that the worker has received that, and neither after an order without an answer nor before the
 // incarnation has listed its runs in this term: the worker may have restarted under its ID, and the next
-// incarnation, which numbers its ends from 1 again, would not list those up to the acknowledged one. For the
-// same reason the acknowledgement waits until a start in flight is answered, which the next incarnation may
-// have executed. The lease of a worker that missed an answer is not extended until the worker answers, so
-// that its runs end if it stays unreachable.
+// incarnation, which numbers its ends from 1 again, would not list those up to the acknowledged one. The
+// lease of a worker that missed an answer is not extended until the worker answers, so that its runs end
+// if it stays unreachable.
 func (l *Leader) observe(w *worker) {
 	e := Observe{Order: l.newOrder(w)}
-	if w.deliveredAck < w.rec.AckedEnd && w.misses == 0 && w.hasListed && !w.hasStartInFlight() {
+	if w.deliveredAck < w.rec.AckedEnd && w.misses == 0 && w.hasListed {
 		e.AckedEnd = w.rec.AckedEnd
 	}
 	w.stopsUnconfirmed = l.hasUnconfirmedStop(w)
 	if len(w.runs) > 0 && w.misses == 0 && !w.unresponsive && w.clockMS > 0 && !w.stopsUnconfirmed {
 		e.UntilMS = l.extendLease(w)
 	}
-	if !w.observeAtOnce && w.misses == 0 && !w.unresponsive && len(w.runs) > 0 && l.mayWaitForEnds(w, e.AckedEnd) {
+	if !w.observeAtOnce && w.misses == 0 && !w.unresponsive && w.deliveredAck >= w.rec.AckedEnd-maxListedEnds && len(w.runs) > 0 {
 		e.WaitMS = int(l.observeWait(w).Milliseconds())
 	}
 	w.observing, w.observeAtOnce = true, false
 	l.sendOrder(e, time.Duration(e.WaitMS)*time.Millisecond)
 }
 
-// minRestartTime is the time within which no worker restarts under its ID.
-const minRestartTime = 30 * time.Millisecond
-
-// mayWaitForEnds reports whether a worker may delay its answer to an observation until further runs end.
-// ackedEnd is the last end that the observation acknowledges, 0 for none. A worker with ends that are not
-// acknowledged lists them at once. While it receives the acknowledgement it may only wait if it has just
-// answered: otherwise its next incarnation may receive it, end a run during the wait, and drop that end.
-func (l *Leader) mayWaitForEnds(w *worker, ackedEnd int64) bool {
-	if ackedEnd == 0 {
-		return w.deliveredAck >= w.rec.AckedEnd
-	}
-	return l.now-w.listedAt < minRestartTime
-}
-
-// ackRetry is the longest delay before the next observation of a worker whose ends are not acknowledged yet
-// because a start is in flight. The answer to the start ends it.
-const ackRetry = 100 * time.Millisecond
-
-// hasStartInFlight reports whether a start of a run has not been answered yet that the worker has not listed.
-func (w *worker) hasStartInFlight() bool {
-	for _, r := range w.runs {
-		if r.orderInFlight && !r.listed {
-			return true
-		}
-	}
-	return false
-}
-
 // maxStopWait is how long a stop may be refused or not answered before the lease of its worker is not
 // extended any more, so that the run ends with the lease. Workers stop a run within Bounds.StopTime, and
 // stops that are lost are repeated every 0.35 s; the lease leaves the worker several seconds more to confirm one.
@@ -121,10 +92,6 @@
 		}
 		w.unresponsive, w.misses, w.hasListed, w.deliveredAck = false, 0, true, max(w.deliveredAck, e.Observe.AckedEnd)
 		w.recordAnswer(l.now, e.ClockMS)
-		w.listedAt = l.now
-		if w.ackDelayed = w.deliveredAck < w.rec.AckedEnd && w.hasStartInFlight(); w.ackDelayed {
-			w.observeAt = l.now + ackRetry
-		}
 		l.reconcileRuns(w, &e)
 		l.needsSchedule = true
 		if w.clockMS == 0 { // no lease can be given without a reading above 0
--- a/coordination/jobs/run.go
+++ b/coordination/jobs/run.go
@@ -123,15 +123,8 @@
 		return nil, nil
 	}
 	if result.isAnswer() && result != OrderWrongIncarnation {
-		l.checkClock(w, o, clockMS)
 		w.recordAnswer(l.now, clockMS)
 	}
-	if w.ackDelayed && !w.observing {
-		w.ackDelayed, w.observeAt = false, l.now
-	}
-	if result.isUnknown() {
-		w.hasListed = false // the next incarnation may execute the order
-	}
 	l.markForReconcile(w)
 	r := w.runs[ref]
 	if r == nil || r.number != number {
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -70,11 +70,9 @@
 	// stopsUnconfirmed is true if at the last observation a stop had not been confirmed for maxStopWait. The
 	// worker then gets no new work and no longer lease while it has runs.
 	stopsUnconfirmed bool
-	committingEnds   int           // number of EndRuns commands that are being committed
-	hasListed        bool          // the incarnation has listed its runs in this term
-	listedAt         time.Duration // time of the last answer with which it did
-	ackDelayed       bool          // the next observation is delayed until a start in flight is answered
-	deliveredAck     int64         // number of the last end whose acknowledgement the worker has received
+	committingEnds   int   // number of EndRuns commands that are being committed
+	hasListed        bool  // the incarnation has listed its runs in this term
+	deliveredAck     int64 // number of the last end whose acknowledgement the worker has received
 	runs             map[job.TaskRef]*run
 	pendingAmount    resource.Amount // capacity of assignments that are being committed
 	pendingTasks     int             // tasks of these assignments
