--- a/coordination/jobs/restart_outage_test.go
+++ b/coordination/jobs/restart_outage_test.go
@@ -10,8 +10,8 @@
 
 // Guards against violations of the invariants while workers restart under their IDs all the time, with starts
 // in flight, and the log takes no entries at some moments: a task that is done on the next incarnation of its
-// worker is started again. In half of the histories messages are lost, workers are cut off
-// and the leader changes as well.
+// worker is started again. In half of the histories messages are lost, workers are cut off and the leader
+// changes as well.
 func TestInvariantsHoldWhileWorkersRestartBesideLogOutages(t *testing.T) {
 	seeds := uint64(40)
 	if testing.Short() {
--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -93,8 +94,8 @@
 		l.waves = newWaves()
 		l.takeOverWaves(all)
 	}
-	for vm, number := range l.waves.unrecorded {
-		l.recordMaintenance(number, vm)
+	for _, vm := range slices.Sorted(maps.Keys(l.waves.unrecorded)) {
+		l.recordMaintenance(l.waves.unrecorded[vm], vm)
 	}
 	l.waves.cordoned, l.waves.requested = map[string]bool{}, map[string]bool{}
 	for _, w := range all {
