--- a/review/11/tools/standin/cluster.go
+++ b/review/11/tools/standin/cluster.go
@@ -51,6 +51,7 @@
 	runners  map[string]*runner // by machine of the platform
 	lives    int
 	moved    int
+	spare    bool // the configuration has a spare pool
 	client   *http.Client
 }
 
@@ -288,11 +289,15 @@
 
 // configure sends the configuration: one queue, without advice.
 func (c *cluster) configure(version int) bool {
+	services := []any{map[string]any{"name": poolName, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "spare": false}}
+	if c.spare {
+		services = append(services, map[string]any{"name": "pool-spare", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "spare": true})
+	}
 	return c.operate("PUT", "/config", map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{"name": "r-1", "host": queueHost, "pathPrefix": "/q/", "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 1000,
 			"priority": 0, "service": poolName, "maxAttempts": 3, "stretch": 2.0}},
-		"services": []any{map[string]any{"name": poolName, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "spare": false}},
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}, 20*time.Second)
 }
--- a/review/11/tools/standin/main.go
+++ b/review/11/tools/standin/main.go
@@ -17,10 +17,11 @@
 )
 
 var cases = map[string]func(c *cluster, trouble bool) (int, string){
-	"late-ack":     lateAck,
-	"late-copy":    lateCopy,
-	"stale-upkeep": staleUpkeep,
-	"upkeep-gap":   upkeepGap,
+	"late-ack":       lateAck,
+	"late-copy":      lateCopy,
+	"skipped-upkeep": skippedUpkeep,
+	"stale-upkeep":   staleUpkeep,
+	"upkeep-gap":     upkeepGap,
 }
 
 // maxTime is the longest time that a case may take.
