jobs: a late copy of a cancelled submission is not accepted

What callers saw: a client submitted a job at a gateway that was cut off from the core, got 504, and cancelled the job through another gateway, which answered 410.

Cause: a cancel of an unknown job was answered with "no such job" and left no trace, and a copy of a submission was accepted whatever its age. The same answer was given while the submission was being committed.

Change: such a cancel is answered once a tombstone is committed, which keeps submissions of the ID out. Submissions carry the submission epoch that their gateway knew when the call began; only the last two epochs are accepted, and a tombstone and the record of a final job last until copies of their epoch are refused. A cancel waits for a submission that is being committed. Bounds: 2,048 tombstones a team, 16,384 in all.

--- a/coordination/jobs/agents.go
+++ b/coordination/jobs/agents.go
@@ -61,7 +61,7 @@
 	}
 	a.lastContact = l.now
 	l.workersContacted(e.Workers)
-	answer := Answer{Code: CodeOK, Members: l.host.Members()}
+	answer := Answer{Code: CodeOK, Members: l.host.Members(), Epoch: l.state.Epoch()}
 	if l.state.Configuration().Version == 0 {
 		answer.Message = "no configuration is in force yet"
 	}
--- a/coordination/jobs/calls.go
+++ b/coordination/jobs/calls.go
@@ -68,6 +68,9 @@
 		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase}) // the submission was sent again
 		return
 	}
+	if l.isLateCopy(&e, team) {
+		return
+	}
 	if err := e.Submission.Validate(); err != nil {
 		l.host.Reply(e.Token, Answer{Code: CodeInvalid, Message: err.Error()})
 		return
@@ -92,7 +95,6 @@
 	cmd := &job.Command{Submit: &job.Submit{Submission: e.Submission, Queue: q.Name, Team: team, Borrowed: borrowed, AtMS: l.wallMS}}
 	l.submitting[id]++
 	ok = l.propose(cmd, func(_ job.Applied, committed bool) {
-		l.submitted(id)
 		j := l.state.Job(id)
 		switch {
 		case !committed:
@@ -102,18 +104,32 @@
 		default:
 			l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
 		}
+		l.submitted(id, committed)
 	})
 	if !ok {
-		l.submitted(id)
 		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
+		l.submitted(id, true)
 	}
 }
 
-// submitted ends one attempt to store a job.
-func (l *Leader) submitted(id job.ID) {
-	if l.submitting[id]--; l.submitting[id] <= 0 {
+// submitted ends one attempt to store a job. When the outcome of all attempts is known, it handles the
+// cancels that have waited for it.
+func (l *Leader) submitted(id job.ID, outcomeKnown bool) {
+	if l.submitting[id]--; l.submitting[id] > 0 && outcomeKnown {
+		return
+	}
+	if l.submitting[id] <= 0 {
 		delete(l.submitting, id)
 	}
+	waiting := l.cancels.afterSubmit[id]
+	delete(l.cancels.afterSubmit, id)
+	for _, e := range waiting {
+		if outcomeKnown {
+			l.cancel(e)
+		} else {
+			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the job was being stored"})
+		}
+	}
 }
 
 func (l *Leader) lookup(e Lookup) {
@@ -142,36 +158,6 @@
 	}
 }
 
-func (l *Leader) cancel(e Cancel) {
-	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
-	if !ok {
-		return
-	}
-	id, team := c.id, c.team
-	j := l.state.Job(id)
-	switch {
-	case j == nil:
-		l.host.Reply(e.Token, Answer{Code: CodeNoJob, Message: "no such job"})
-		return
-	case !l.authorize(e.Token, team, j):
-		return
-	case j.Phase.Final():
-		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
-		return
-	}
-	ok = l.propose(&job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, func(_ job.Applied, committed bool) {
-		if !committed {
-			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"})
-			return
-		}
-		l.log("info", "cancel", string(id), "", "the job was cancelled")
-		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: job.Cancelled})
-	})
-	if !ok {
-		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
-	}
-}
-
 // configure puts a configuration in force. A configuration whose version is not newer
 // is acknowledged without effect.
 func (l *Leader) configure(e Configure) {
--- /dev/null
+++ b/coordination/jobs/cancel.go
@@ -0,0 +1,198 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/primrosereach/primrosereach/state/job"
+)
+
+// This file decides what the cancel of a job does, and which submissions come too late. A caller whose
+// submission was not answered may cancel the job while a copy of the submission is in flight. The answer
+// "no such job" promises that the job never runs, so it is given once a tombstone is committed that keeps
+// the copy out. A tombstone is deleted when copies of its submission epoch are too old to be accepted.
+// Neither depends on a clock: time decides only when the next epoch starts.
+
+const (
+	// minEpochTime is the minimum length of a submission epoch. It exceeds the longest time for which a
+	// gateway attempts a call, and the period of the heartbeats from which it learns the epoch.
+	minEpochTime = 30 * time.Second
+	// maxTeamTombstones and maxTombstones bound the tombstones of one team, and of all teams.
+	maxTeamTombstones = 2048
+	maxTombstones     = 16 * 1024
+)
+
+// cancels is the leader's record of cancels whose outcome is not known yet, and of the submission epoch.
+type cancels struct {
+	afterSubmit map[job.ID][]Cancel            // cancels that wait for the outcome of a submission
+	committing  map[job.ID]map[string][]Cancel // cancels whose tombstone is being committed, by job and team
+	refused     int                            // cancels of unknown jobs that were refused since the last log line
+	pending     int                            // tombstones that are being committed
+	epoch       int64                          // epoch in force when epochEnd was set
+	epochEnd    time.Duration                  // time from which the next epoch can start
+	advancing   bool                           // the next epoch is being committed
+}
+
+func newCancels() cancels {
+	return cancels{afterSubmit: map[job.ID][]Cancel{}, committing: map[job.ID]map[string][]Cancel{}}
+}
+
+func (l *Leader) cancel(e Cancel) {
+	c, ok := l.resolveCall(e.Token, e.Host, e.Path, e.Credential)
+	if !ok {
+		return
+	}
+	j := l.state.Job(c.id)
+	switch {
+	case j == nil && l.submitting[c.id] > 0:
+		l.cancels.afterSubmit[c.id] = append(l.cancels.afterSubmit[c.id], e)
+	case j == nil && c.id.Validate() != nil:
+		l.host.Reply(e.Token, noJob()) // no submission with this ID is accepted
+	case j == nil:
+		l.cancelUnknown(e, c)
+	case !l.authorize(e.Token, c.team, j):
+	case j.Phase.Final():
+		l.host.Reply(e.Token, Answer{Code: CodeOK, Phase: j.Phase})
+	default:
+		l.cancelJob(e.Token, c.id)
+	}
+}
+
+// cancelJob cancels an open job.
+func (l *Leader) cancelJob(t Token, id job.ID) {
+	ok := l.propose(&job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, func(_ job.Applied, committed bool) {
+		if !committed {
+			l.host.Reply(t, Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"})
+			return
+		}
+		l.log("info", "cancel", string(id), "", "the job was cancelled")
+		l.host.Reply(t, Answer{Code: CodeOK, Phase: job.Cancelled})
+	})
+	if !ok {
+		l.host.Reply(t, unavailable("the replicated log accepts no entries at present"))
+	}
+}
+
+// cancelUnknown cancels a job that is not known: it answers once a tombstone of the epoch in force is
+// committed. A tombstone of an earlier epoch does not suffice, since it is deleted before copies of the
+// epoch in force are too old.
+func (l *Leader) cancelUnknown(e Cancel, c jobCall) {
+	if l.state.TombstoneEpoch(c.id, c.team) == l.state.Epoch() {
+		l.host.Reply(e.Token, noJob())
+		return
+	}
+	if waiting := l.cancels.committing[c.id][c.team]; waiting != nil {
+		l.cancels.committing[c.id][c.team] = append(waiting, e)
+		return
+	}
+	if !l.hasRoomForTombstone(c) {
+		l.cancels.refused++
+		l.host.Reply(e.Token, Answer{Code: CodeUnavailable, Message: "too many unknown jobs were cancelled lately", RetryAfter: maxRetryAfter})
+		return
+	}
+	l.proposeTombstone(e, c)
+}
+
+// logRefusedCancels writes at most one log line for each periodic check.
+func (l *Leader) logRefusedCancels() {
+	if l.cancels.refused > 0 {
+		l.log("warn", "cancel", "", "", "cancels of unknown jobs were refused, since too many came lately", "count", l.cancels.refused)
+		l.cancels.refused = 0
+	}
+}
+
+// hasRoomForTombstone reports whether one more tombstone stays within the bounds.
+func (l *Leader) hasRoomForTombstone(c jobCall) bool {
+	if l.state.TombstoneEpoch(c.id, c.team) > 0 {
+		return true // it is renewed
+	}
+	ofTeam, total := l.state.Tombstones(c.team)
+	return ofTeam+l.cancels.pending < maxTeamTombstones && total+l.cancels.pending < maxTombstones
+}
+
+func (l *Leader) proposeTombstone(e Cancel, c jobCall) {
+	cmd := &job.Command{Tombstone: &job.Tombstone{Job: c.id, Team: c.team, Epoch: l.state.Epoch()}}
+	ok := l.propose(cmd, func(a job.Applied, committed bool) { l.tombstoneCommitted(c, a, committed) })
+	if !ok {
+		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
+		return
+	}
+	byTeam := l.cancels.committing[c.id]
+	if byTeam == nil {
+		byTeam = map[string][]Cancel{}
+		l.cancels.committing[c.id] = byTeam
+	}
+	byTeam[c.team] = []Cancel{e}
+	l.cancels.pending++
+}
+
+// tombstoneCommitted answers the cancels that have waited for a tombstone.
+func (l *Leader) tombstoneCommitted(c jobCall, a job.Applied, committed bool) {
+	waiting := l.cancels.committing[c.id][c.team]
+	delete(l.cancels.committing[c.id], c.team)
+	if len(l.cancels.committing[c.id]) == 0 {
+		delete(l.cancels.committing, c.id)
+	}
+	l.cancels.pending--
+	answer := noJob()
+	switch {
+	case !committed:
+		answer = Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"}
+	case a.Rejected != nil: // the epoch has ended meanwhile
+		answer = unavailable(a.Rejected.Error())
+	default:
+		l.log("info", "cancel", string(c.id), "", "a job was cancelled that is not known; its submission is not accepted any more", "team", c.team, "epoch", l.state.Epoch())
+	}
+	for _, e := range waiting {
+		l.host.Reply(e.Token, answer)
+	}
+}
+
+func noJob() Answer { return Answer{Code: CodeNoJob, Message: "no such job"} }
+
+// isLateCopy reports whether a submission of a job that is not known must not be accepted: the job was
+// cancelled, or the submission is so old that a cancel of it may be forgotten. If so, it answers the call.
+func (l *Leader) isLateCopy(e *Submit, team string) bool {
+	id := e.Submission.ID
+	switch {
+	case l.isCancelled(id, team):
+		l.log("info", "submit", string(id), "", "a submission was not accepted: the job was cancelled before", "team", team, "epoch", e.Epoch)
+		l.host.Reply(e.Token, Answer{Code: CodeRefused, Message: "the job was cancelled before it was accepted"})
+	case !l.state.AcceptsEpoch(e.Epoch):
+		l.log("info", "submit", string(id), "", "a submission was not accepted: it was sent too long ago", "epoch", e.Epoch, "in_force", l.state.Epoch())
+		l.host.Reply(e.Token, unavailable("the submission was sent too long ago"))
+	default:
+		return false
+	}
+	return true
+}
+
+// isCancelled reports whether the submission of a job by a team was cancelled, or is being cancelled.
+func (l *Leader) isCancelled(id job.ID, team string) bool {
+	committing := l.cancels.committing[id]
+	if team == "" && len(committing) > 0 || committing[team] != nil {
+		return true
+	}
+	return l.state.HasTombstone(id, team)
+}
+
+// epochTime returns the length of a submission epoch. Final jobs are kept until copies of their
+// submissions are too old, so it is derived from their retention.
+func (l *Leader) epochTime() time.Duration { return max(minEpochTime, l.retention()/2) }
+
+// advanceEpoch starts the next submission epoch when the one in force has lasted for epochTime. The clock
+// that measured its start may be another leader's, so a new leader waits for minEpochTime at least.
+func (l *Leader) advanceEpoch() {
+	if e := l.state.Epoch(); e != l.cancels.epoch {
+		elapsed := time.Duration(l.wallMS-l.state.EpochStartMS()) * time.Millisecond
+		if l.state.EpochStartMS() == 0 {
+			elapsed = 0
+		}
+		l.cancels.epoch = e
+		l.cancels.epochEnd = l.now + min(max(minEpochTime, l.epochTime()-elapsed), l.epochTime())
+	}
+	if l.now < l.cancels.epochEnd || l.cancels.advancing {
+		return
+	}
+	next := &job.AdvanceEpoch{Epoch: l.state.Epoch() + 1, AtMS: l.wallMS}
+	l.cancels.advancing = l.propose(&job.Command{AdvanceEpoch: next}, func(job.Applied, bool) { l.cancels.advancing = false })
+}
--- a/coordination/jobs/event.go
+++ b/coordination/jobs/event.go
@@ -21,6 +21,7 @@
 		Path       string
 		Credential Credential
 		Submission job.Submission // Handle sets the submission's ID to the part of Path after the queue's own path
+		Epoch      int64          // submission epoch that the sender knew before the first attempt, 0 if the sender knows none
 	}
 
 	// Lookup requests the phase of a job, or the number of waiting jobs of a queue if the
@@ -245,6 +246,7 @@
 	Configuration *job.Configuration // for ReadConfiguration
 	WaveCompleted bool               // for ReadWave
 	Members       []string           // peer addresses of the group's members, for ProcessHeartbeat
+	Epoch         int64              // submission epoch in force, for ProcessHeartbeat
 	DryRun        *DryRunResult      // for DryRun
 }
 
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -62,7 +62,7 @@
 	objectives        map[job.ID]int64             // milliseconds from acceptance to the objective of the last active occurrence, for log lines about open jobs
 	startedJobs       map[job.ID]bool              // open jobs with a task whose start was confirmed
 	finalJobs         []job.ID                     // final jobs, in the order in which they became final for this leader
-	pruneAtMS         map[job.ID]int64             // Unix milliseconds
+	retained          map[job.ID]retention         // how long final jobs are kept
 	agents            agents                       // processes that can call the advice service
 	lastAdviceID      uint64                       // ID of the last call for advice
 	approvalRates     map[string]*approvalRate     // by queue
@@ -76,6 +76,7 @@
 	earlierStartsEnd  time.Duration // time from which no worker executes a start of an earlier leader
 	teams             teamLedger
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
+	cancels           cancels
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
 	exhaustedTasks    []job.TaskRef // waiting tasks that have no attempt left in the configuration in force
@@ -96,7 +97,7 @@
 		host: host, state: st, bounds: b, term: term, now: now, wallMS: wallMS,
 		workers: map[string]*worker{}, steps: map[job.StepRef]*step{}, holding: map[job.StepRef]*step{}, keptIdle: map[string]keptIdle{},
 		futureOccurrences: queue.NewTimeline[job.StepRef](), suspectDomains: map[string]domainSuspicion{},
-		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, pruneAtMS: map[job.ID]int64{}, submitting: map[job.ID]int{},
+		queued: map[job.ID]string{}, startedJobs: map[job.ID]bool{}, objectives: map[job.ID]int64{}, retained: map[job.ID]retention{}, submitting: map[job.ID]int{}, cancels: newCancels(),
 		joinChecks: map[claim]*joinCheck{}, approvalRates: map[string]*approvalRate{}, speeds: estimate.NewWithSpeedPrior(speedPrior), overload: newOverload(), starts: newStartWindow(), teams: newTeamLedger(), relays: newRelays(),
 		earlierStartsEnd: now + lateStartTime, needsSchedule: true, takingOver: true,
 	}
@@ -208,6 +209,7 @@
 	l.removeInvalidRecords()
 	l.failExhausted()
 	l.logForeignHeartbeats()
+	l.logRefusedCancels()
 	l.lateStarts.expire(l.now)
 	l.checkAdvice()
 	l.checkGangs()
@@ -215,6 +217,7 @@
 	l.releaseWithheldWorkers()
 	l.advanceWaves()
 	l.evacuateServices()
+	l.advanceEpoch()
 	l.pruneJobs()
 	l.logWaiting()
 }
@@ -239,7 +242,7 @@
 // pruneJobs deletes final jobs whose retention has expired.
 func (l *Leader) pruneJobs() {
 	n := 0
-	for n < min(len(l.finalJobs), maxPrunedJobs) && l.pruneAtMS[l.finalJobs[n]] <= l.wallMS {
+	for n < min(len(l.finalJobs), maxPrunedJobs) && l.mayPrune(l.finalJobs[n]) {
 		n++
 	}
 	old := slices.Clone(l.finalJobs[:n])
@@ -248,10 +251,23 @@
 	}
 	l.finalJobs = l.finalJobs[n:]
 	for _, id := range old {
-		delete(l.pruneAtMS, id)
+		delete(l.retained, id)
 	}
 }
 
+// retention is how long a final job is kept.
+type retention struct {
+	untilMS int64 // Unix milliseconds
+	epoch   int64 // submission epoch in which the job was known to be final
+}
+
+// mayPrune reports whether the retention of a final job has expired, and no copy of its submission can be
+// accepted any more: it would run a second time.
+func (l *Leader) mayPrune(id job.ID) bool {
+	r := l.retained[id]
+	return r.untilMS <= l.wallMS && l.state.EpochExpired(r.epoch)
+}
+
 func (l *Leader) propose(c *job.Command, done func(a job.Applied, committed bool)) bool {
 	return l.host.Propose(c, done)
 }
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -117,8 +117,8 @@
 
 // jobBecameFinal schedules the pruning of a final job and stops the tasks that still run.
 func (l *Leader) jobBecameFinal(j *job.Job) {
-	if _, ok := l.pruneAtMS[j.ID]; !ok {
-		l.pruneAtMS[j.ID] = l.wallMS + l.retention().Milliseconds()
+	if _, ok := l.retained[j.ID]; !ok {
+		l.retained[j.ID] = retention{untilMS: l.wallMS + l.retention().Milliseconds(), epoch: l.state.Epoch()}
 		l.finalJobs = append(l.finalJobs, j.ID)
 		l.reportFinal(j)
 	}
@@ -152,7 +152,7 @@
 	delete(l.objectives, j.ID)
 }
 
-// retention returns how long a final job is kept after its end.
+// retention returns how long a final job is kept after its end at least.
 func (l *Leader) retention() time.Duration { return l.bounds.StatusRetention + 30*time.Second }
 
 // activateDue activates the occurrences that are due.
--- a/protocol/job.go
+++ b/protocol/job.go
@@ -43,6 +43,7 @@
 	ClockMS      int64              `json:"clock_ms,omitempty"`
 	Sequence     int64              `json:"sequence,omitempty"`
 	KnownVersion int64              `json:"known,omitempty"`
+	Epoch        int64              `json:"epoch,omitempty"`
 
 	Contacts []jobs.WorkerContact `json:"contacts,omitempty"`
 }
@@ -53,7 +54,7 @@
 	var c jobCall
 	switch e := ev.(type) {
 	case jobs.Submit:
-		name, c = OpJobSubmit, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
+		name, c = OpJobSubmit, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission, Epoch: e.Epoch}
 	case jobs.DryRun:
 		name, c = OpJobDryRun, jobCall{Host: e.Host, Path: e.Path, Credential: e.Credential, Submission: &e.Submission}
 	case jobs.Lookup:
@@ -97,7 +98,7 @@
 		if c.Submission == nil {
 			return nil, missing
 		}
-		return jobs.Submit{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission}, nil
+		return jobs.Submit{Token: t, Host: c.Host, Path: c.Path, Credential: c.Credential, Submission: *c.Submission, Epoch: c.Epoch}, nil
 	case OpJobDryRun:
 		if c.Submission == nil {
 			return nil, missing
@@ -144,6 +145,7 @@
 	Configuration *job.Configuration `json:"configuration,omitempty"`
 	WaveCompleted bool               `json:"wave_completed,omitempty"`
 	Members       []string           `json:"members,omitempty"`
+	Epoch         int64              `json:"epoch,omitempty"`
 
 	DryRun *jobs.DryRunResult `json:"dry_run,omitempty"`
 }
@@ -152,7 +154,7 @@
 func EncodeJobAnswer(a jobs.Answer) (Result, error) {
 	b, err := json.Marshal(jobAnswer{
 		Code: a.Code, Message: a.Message, RetryAfterMS: a.RetryAfter.Milliseconds(), Phase: a.Phase, Waiting: a.Waiting,
-		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, DryRun: a.DryRun,
+		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, Epoch: a.Epoch, DryRun: a.DryRun,
 	})
 	if err != nil {
 		return Result{}, errors.Wrap(err, "encode answer")
@@ -168,7 +170,7 @@
 	}
 	return jobs.Answer{
 		Code: a.Code, Message: a.Message, RetryAfter: time.Duration(a.RetryAfterMS) * time.Millisecond, Phase: a.Phase, Waiting: a.Waiting,
-		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, DryRun: a.DryRun,
+		Configuration: a.Configuration, WaveCompleted: a.WaveCompleted, Members: a.Members, Epoch: a.Epoch, DryRun: a.DryRun,
 	}, nil
 }
 
--- a/state/job/apply.go
+++ b/state/job/apply.go
@@ -49,6 +49,10 @@
 		return s.requestMaintenance(c.RequestMaintenance)
 	case c.MaintenanceStarted != nil:
 		return s.maintenanceStarted(c.MaintenanceStarted)
+	case c.Tombstone != nil:
+		return s.addTombstone(c.Tombstone)
+	case c.AdvanceEpoch != nil:
+		return s.advanceEpoch(c.AdvanceEpoch)
 	}
 	return Applied{}
 }
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -17,6 +17,8 @@
 	Wave               *Wave               `json:"wave,omitempty"`
 	RequestMaintenance *MaintenanceRequest `json:"request_maintenance,omitempty"`
 	MaintenanceStarted *MaintenanceStarted `json:"serviced,omitempty"`
+	Tombstone          *Tombstone          `json:"tombstone,omitempty"`
+	AdvanceEpoch       *AdvanceEpoch       `json:"advance_epoch,omitempty"`
 }
 
 // Submit stores a job in a queue.
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -62,7 +62,7 @@
 
 // Validate returns the first error found in a submission.
 func (s *Submission) Validate() error {
-	if err := s.ID.validate(); err != nil {
+	if err := s.ID.Validate(); err != nil {
 		return err
 	}
 	if len(s.Steps) == 0 {
--- a/state/job/limits.go
+++ b/state/job/limits.go
@@ -23,9 +23,9 @@
 	maxIDBytes = 64
 )
 
-// validate returns an error if an ID is empty, too long, or has characters other than letters,
+// Validate returns an error if an ID is empty, too long, or has characters other than letters,
 // digits, "-" and "_". Names of tasks join the ID of their job and numbers with dots.
-func (id ID) validate() error {
+func (id ID) Validate() error {
 	if id == "" || len(id) > maxIDBytes {
 		return fmt.Errorf("the ID of the job has %d characters, 1 to %d are allowed", len(id), maxIDBytes)
 	}
--- a/state/job/state.go
+++ b/state/job/state.go
@@ -18,11 +18,18 @@
 	workers map[string]*Worker // by ID
 	waves   map[int]*Wave
 	usage   map[string]resource.Amount // capacity that the tasks of a team reserve, by team
+
+	epoch        int64 // submission epoch, see AdvanceEpoch
+	epochStartMS int64 // Unix milliseconds, 0 for the first epoch
+	tombstones   tombstones
 }
 
 // New returns an empty state.
 func New() *State {
-	return &State{retired: map[string]Queue{}, jobs: map[ID]*Job{}, workers: map[string]*Worker{}, waves: map[int]*Wave{}, usage: map[string]resource.Amount{}}
+	return &State{
+		retired: map[string]Queue{}, jobs: map[ID]*Job{}, workers: map[string]*Worker{}, waves: map[int]*Wave{},
+		usage: map[string]resource.Amount{}, epoch: 1, tombstones: newTombstones(),
+	}
 }
 
 // Applied returns the log index of the last applied command.
@@ -104,12 +111,20 @@
 	Jobs    []*Job           `json:"jobs,omitempty"`
 	Workers []*Worker        `json:"workers,omitempty"`
 	Waves   []*Wave          `json:"waves,omitempty"`
+
+	// Members of earlier versions know neither epochs nor tombstones and leave these fields out.
+	Epoch        int64       `json:"epoch,omitempty"` // submission epoch
+	EpochStartMS int64       `json:"epoch_start_ms,omitempty"`
+	Tombstones   []Tombstone `json:"tombstones,omitempty"`
 }
 
 // Snapshot returns a copy of the state. It leaves out Worker.Tasks, which Restore
 // rebuilds from the jobs.
 func (s *State) Snapshot() *Snapshot {
-	out := &Snapshot{Applied: s.applied, Config: s.config, Retired: maps.Clone(s.retired)}
+	out := &Snapshot{
+		Applied: s.applied, Config: s.config, Retired: maps.Clone(s.retired),
+		Epoch: s.epoch, EpochStartMS: s.epochStartMS, Tombstones: s.tombstones.list(),
+	}
 	for _, j := range s.jobs {
 		out.Jobs = append(out.Jobs, j.clone())
 	}
@@ -142,6 +157,10 @@
 func Restore(snap *Snapshot) *State {
 	s := New()
 	s.applied, s.config = snap.Applied, snap.Config
+	s.epoch, s.epochStartMS = max(1, snap.Epoch), snap.EpochStartMS
+	for _, t := range snap.Tombstones {
+		s.tombstones.add(t)
+	}
 	s.queues = s.config.index()
 	s.teams = indexTeams(s.config.Teams)
 	maps.Copy(s.retired, snap.Retired)
--- a/state/job/state_test.go
+++ b/state/job/state_test.go
@@ -350,3 +350,47 @@
 		t.Errorf("the job is %s, the earlier version shows it as failed", p)
 	}
 }
+
+// Guards against tombstones that are kept for good, are lost with a snapshot, or are deleted while a copy of the
+// submission that they keep out can still be accepted.
+func TestTombstonesLastAsLongAsCopiesAreAccepted(t *testing.T) {
+	s := configured(t, 2)
+	submit(t, s, "known", small(1))
+	if a := apply(t, s, &Command{Tombstone: &Tombstone{Job: "known", Epoch: 1}}); a.Rejected == nil {
+		t.Error("a tombstone was added for a job that is known")
+	}
+	sent := map[ID]int64{} // epoch of the submission of each cancelled job
+	for epoch := int64(1); epoch < 8; epoch++ {
+		id := ID(fmt.Sprint("c", epoch))
+		sent[id] = epoch
+		apply(t, s, &Command{Tombstone: &Tombstone{Job: id, Team: "a", Epoch: epoch}})
+		if epoch%3 == 0 {
+			s = Restore(s.Snapshot())
+		}
+		for id, e := range sent {
+			if s.AcceptsEpoch(e) && !s.HasTombstone(id, "a") {
+				t.Errorf("epoch %d: a copy of %s would be accepted", epoch, id)
+			}
+			if s.EpochExpired(e) && s.HasTombstone(id, "a") {
+				t.Errorf("epoch %d: the tombstone of %s is kept", epoch, id)
+			}
+		}
+		if n, total := s.Tombstones("a"); n != total || total > submissionEpochs {
+			t.Errorf("epoch %d: %d tombstones, %d of the team", epoch, total, n)
+		}
+		apply(t, s, &Command{AdvanceEpoch: &AdvanceEpoch{Epoch: epoch + 1, AtMS: epoch}})
+		if a := apply(t, s, &Command{AdvanceEpoch: &AdvanceEpoch{Epoch: epoch, AtMS: epoch}}); a.Rejected == nil || s.Epoch() != epoch+1 {
+			t.Error("an epoch that is over was started again")
+		}
+	}
+	if a := apply(t, s, &Command{Tombstone: &Tombstone{Job: "late", Epoch: 1}}); a.Rejected == nil {
+		t.Error("a tombstone of an epoch that is over was added")
+	}
+}
+
+// Guards against a state that an earlier version has stored: it holds no epoch.
+func TestSnapshotOfAnEarlierVersionStartsTheFirstEpoch(t *testing.T) {
+	if s := Restore(&Snapshot{}); s.Epoch() != 1 || !s.AcceptsEpoch(1) || s.EpochExpired(1) {
+		t.Errorf("epoch %d", s.Epoch())
+	}
+}
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -59,6 +59,10 @@
 	maxStale      time.Duration // longest time until the answer to a queue lookup, 0 for no limit
 	rejections    rejections
 
+	// epoch is the submission epoch that the leader named last. A submission carries the epoch that was
+	// known when it arrived, in all its attempts, so that the leader can tell how old a late copy is.
+	epoch atomic.Int64
+
 	// lastConfiguration is the configuration that was read last. Reads send its version,
 	// so that the leader sends a document, which may be large, only once.
 	lastConfiguration atomic.Pointer[job.Configuration]
@@ -82,6 +86,10 @@
 		e.KnownVersion = known.Version
 		ev = e
 	}
+	if e, ok := ev.(jobs.Submit); ok {
+		e.Epoch = c.epoch.Load()
+		ev = e
+	}
 	op, err := protocol.EncodeJobEvent(ev)
 	if err != nil {
 		return jobs.Answer{Code: jobs.CodeInvalid, Message: err.Error()}
@@ -318,6 +326,7 @@
 				c.tracker.notLeader(target)
 				return
 			}
+			c.epoch.Store(a.Epoch)
 			c.tracker.answered(target, a.Members)
 		}
 	}
--- a/transport/site/client_test.go
+++ b/transport/site/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -178,3 +179,49 @@
 		t.Errorf("answer %+v after %v; want it within 1.5 s, half of the caller's timeout", a, took)
 	}
 }
+
+// epochForwarder answers heartbeats with an epoch, and leaves the first attempts of submissions unanswered.
+type epochForwarder struct {
+	epoch    int64   // named in the next answer to a heartbeat
+	lost     int     // attempts of submissions that are left unanswered
+	received []int64 // epochs of the submissions
+}
+
+// Forward implements Forwarder.
+func (f *epochForwarder) Forward(ctx context.Context, address string, op protocol.Operation) (protocol.Result, error) {
+	ev, err := protocol.DecodeJobEvent(op, 1)
+	if err != nil {
+		return protocol.Result{}, err
+	}
+	e, ok := ev.(jobs.Submit)
+	if !ok {
+		return protocol.EncodeJobAnswer(jobs.Answer{Code: jobs.CodeOK, Epoch: f.epoch})
+	}
+	f.received = append(f.received, e.Epoch)
+	if f.lost--; f.lost >= 0 {
+		return hang(ctx, address)
+	}
+	return protocol.EncodeJobAnswer(jobs.Answer{Code: jobs.CodeOK, Phase: job.Queued})
+}
+
+// Guards against a late copy of a submission that the leader takes for a new one: each attempt of a call
+// has to carry the epoch that was known when the call began.
+func TestAttemptsOfASubmissionCarryTheEpochOfItsStart(t *testing.T) {
+	f := &epochForwarder{epoch: 4, lost: 1}
+	c := newTestClient(t, nil)
+	c.peers = f
+	heartbeat := c.sendHeartbeat("self")
+	heartbeat(t.Context(), "leader")
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	time.AfterFunc(attemptTimeout/2, func() { c.epoch.Store(5) }) // a heartbeat between the attempts
+	if a := c.Call(ctx, jobs.Submit{Host: "h", Path: "/q/1"}); a.Code != jobs.CodeOK {
+		t.Errorf("answer %+v", a)
+	}
+	if a := c.Call(ctx, jobs.Submit{Host: "h", Path: "/q/2"}); a.Code != jobs.CodeOK {
+		t.Errorf("answer %+v", a)
+	}
+	if want := []int64{4, 4, 5}; !slices.Equal(f.received, want) {
+		t.Errorf("submissions carry the epochs %v, want %v", f.received, want)
+	}
+}
