site: 404 and 400 after a lost attempt say nothing about a submission

Cause: a gateway whose first attempt at a submission had no answer passed on "no queue" and "invalid" from its second one. The first may have been accepted before the queue was removed or the team's limit was lowered, so that the job ran although all its caller's attempts were rejected.

Change: both codes become "unknown" for submissions, like refused, unauthenticated and forbidden before.

Before: TestLostSubmissionIsUnknown/no_queue and /invalid fail. After: they pass, and lookups and cancels keep their answers (TestAnswerAboutAQueueHoldsForALostCall).

--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -169,7 +169,7 @@
 		a, outcome := c.attempt(ctx, op)
 		switch {
 		case outcome == answered && a.Code != jobs.CodeUnavailable && a.Code != jobs.CodeUnknown:
-			if unknown && saysNotAccepted(a.Code) {
+			if unknown && saysNotAccepted(op.Name, a.Code) {
 				a.Code = jobs.CodeUnknown
 			}
 			return a
@@ -199,10 +199,16 @@
 	return last
 }
 
-// saysNotAccepted reports whether a code means that a submission was not accepted, which holds for one
-// attempt only: an earlier one may have been, with a key that was withdrawn since.
-func saysNotAccepted(c jobs.Code) bool {
-	return c == jobs.CodeRefused || c == jobs.CodeUnauthenticated || c == jobs.CodeForbidden
+// saysNotAccepted reports whether a code means that a call was not accepted, which holds for one attempt
+// only: an earlier one may have been, with a key that was withdrawn or for a queue that was removed since.
+func saysNotAccepted(op protocol.OperationName, c jobs.Code) bool {
+	switch c {
+	case jobs.CodeRefused, jobs.CodeUnauthenticated, jobs.CodeForbidden:
+		return true
+	case jobs.CodeNoQueue, jobs.CodeInvalid:
+		return op == protocol.OpJobSubmit // other calls store nothing that depends on the queue
+	}
+	return false
 }
 
 // awaitElection waits, without calling any member, while an election is in progress. It
--- a/transport/site/client_test.go
+++ b/transport/site/client_test.go
@@ -79,7 +79,7 @@
 // Guards against a submission that is reported as refused although a member may have
 // stored it: the first attempt is not answered, the second one is refused.
 func TestLostSubmissionIsUnknown(t *testing.T) {
-	for _, code := range []jobs.Code{jobs.CodeRefused, jobs.CodeUnauthenticated, jobs.CodeForbidden} {
+	for _, code := range []jobs.Code{jobs.CodeRefused, jobs.CodeUnauthenticated, jobs.CodeForbidden, jobs.CodeNoQueue, jobs.CodeInvalid} {
 		t.Run(string(code), func(t *testing.T) { testLostSubmission(t, code) })
 	}
 }
@@ -105,6 +105,25 @@
 	}
 }
 
+// Guards against a call that is answered as unknown although the answer to its second attempt holds for the
+// first one as well: the queue of a lookup or a cancel does not exist.
+func TestAnswerAboutAQueueHoldsForALostCall(t *testing.T) {
+	for name, ev := range map[string]jobs.Event{"lookup": jobs.Lookup{Host: "h", Path: "/q/1"}, "cancel": jobs.Cancel{Host: "h", Path: "/q/1"}} {
+		calls := 0
+		c := newTestClient(t, func(ctx context.Context, address string) (protocol.Result, error) {
+			if calls++; calls == 1 {
+				return hang(ctx, address)
+			}
+			return protocol.EncodeJobAnswer(jobs.Answer{Code: jobs.CodeNoQueue})
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		if a := c.Call(ctx, ev); a.Code != jobs.CodeNoQueue {
+			t.Errorf("%s: answer %+v after %d attempts", name, a, calls)
+		}
+	}
+}
+
 // Guards against a submission that is retried until its timeout although no attempt was
 // sent.
 func TestUndeliveredSubmissionIsRefusedAtOnce(t *testing.T) {
