jobs: the next worker of a VM shows that nothing is left of the earlier one

Cause: a start of the earlier leader may be in flight, so that the next incarnation under the worker's ID had to confirm a stop. The next worker of the VM had another ID and address, nobody confirmed the stop, and the run counted as ended after the longest late start and the longest lease (13 s + 10.3 s + 0.4 s). The same held for a run of which a start had not been answered.

Change: a VM runs one worker at a time. A worker with another ID that answers a poll sent after the end of the earlier one was known shows that none of its runs is left. The end itself is known from the platform or from the earlier worker's address, so a wrong claim about a VM ends no run.

--- a/coordination/jobs/fake_vms_test.go
+++ b/coordination/jobs/fake_vms_test.go
@@ -16,6 +16,7 @@
 	lostAnswers int                      // number of requests that are executed and not answered from now on
 	answerTime  time.Duration            // time until a request is answered
 	onStart     func(vm string)          // called when the maintenance of a VM begins, may be nil
+	onReturn    func(x *fakeWorker)      // starts the next worker of a VM after its maintenance; nil for another ID at the same address
 	refuse      map[string]OrderResult   // VMs whose maintenance never begins, and the answer to each request
 }
 
@@ -33,7 +34,7 @@
 	case refused:
 		result = refusal
 	case v.waveOf[e.VM] == e.Wave:
-	case sim.now < v.downUntil[e.VM]:
+	case sim.now < v.downUntil[e.VM] || !sim.isUp(e.VM):
 		result = OrderBusy
 	default:
 		v.takeDown(sim, e)
@@ -65,7 +66,7 @@
 	for _, x := range sim.sorted() {
 		if x.vm == e.VM && !x.stopped {
 			x.stopped, x.runs = true, map[job.TaskRef]*fakeRun{}
-			sim.after(sim.bounds.MaintenanceTime, func() { x.startIncarnation(fmt.Sprint(x.id, "m")) })
+			sim.after(sim.bounds.MaintenanceTime, func() { v.startNext(x) })
 		}
 	}
 	if v.onStart != nil {
@@ -73,6 +74,24 @@
 	}
 }
 
+// isUp reports whether a worker is on a VM, which the leader may not know.
+func (sim *simulation) isUp(vm string) bool {
+	for _, x := range sim.workers {
+		if x.vm == vm && !x.stopped {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *fakeVMs) startNext(x *fakeWorker) {
+	if v.onReturn != nil {
+		v.onReturn(x)
+		return
+	}
+	x.startIncarnation(fmt.Sprint(x.id, "m"))
+}
+
 // addVMs gives each worker a VM and a rack of its own, and restarts it there.
 func (sim *simulation) addVMs() {
 	for _, x := range sim.sorted() {
--- a/coordination/jobs/incarnation.go
+++ b/coordination/jobs/incarnation.go
@@ -144,9 +144,13 @@
 func (l *Leader) removeIfReplaced(w *worker) {
 	at, known := l.lateStartsEndAt(w)
 	switch {
-	case !known || w.committingEnds > 0:
+	case w.committingEnds > 0:
+	case l.hasSuccessor(w):
+		l.proposeLeave(w, false)
+	case !known:
 	case l.now < at:
 		w.reconcileAt(at)
+		l.awaitSuccessor(w)
 		l.endRunsOfPrevious(w)
 	case at > 0 && w.nextListedAt < at:
 		l.observeNext(w)
--- a/coordination/jobs/join.go
+++ b/coordination/jobs/join.go
@@ -111,6 +111,7 @@
 			return
 		}
 		w.answeredJoinCheck(l.now, e)
+		l.reconcilePredecessors(w)
 		l.needsSchedule = true
 		if c.draining {
 			l.drain(rec.Incarnation, c.reply)
@@ -144,6 +145,7 @@
 // listed no runs, and its clock is known, it need not be polled again.
 func (w *worker) answeredJoinCheck(now time.Duration, e *Observed) {
 	w.recordAnswer(now, e.ClockMS)
+	w.observedAt = e.Observe.SentAt
 	if w.clockMS > 0 && len(e.Running)+len(e.Ended) == 0 {
 		w.observeAtOnce, w.deliveredAck = false, max(w.deliveredAck, e.Observe.AckedEnd)
 	}
--- a/coordination/jobs/observe.go
+++ b/coordination/jobs/observe.go
@@ -91,6 +91,7 @@
 			l.log("info", "worker answers", "", w.ID, "the worker answers again")
 		}
 		w.unresponsive, w.misses, w.hasListed, w.deliveredAck = false, 0, true, max(w.deliveredAck, e.Observe.AckedEnd)
+		w.observedAt = max(w.observedAt, e.Observe.SentAt)
 		w.recordAnswer(l.now, e.ClockMS)
 		l.reconcileRuns(w, &e)
 		l.needsSchedule = true
--- a/coordination/jobs/wave_test.go
+++ b/coordination/jobs/wave_test.go
@@ -156,6 +156,14 @@
 			waves := 0
 			runHistory(t, 11000+seed, int(seed%2)*3, func(s *simulation) {
 				sim = s
+				returned := 0
+				sim.vms.onReturn = func(x *fakeWorker) { // every third one under the same ID
+					if returned++; returned%3 == 0 {
+						x.startIncarnation(x.id)
+					} else {
+						x.startIncarnation(x.id + "m")
+					}
+				}
 				var vms []string
 				for _, x := range sim.sorted() {
 					x.vm = "vm-" + x.id
--- a/coordination/jobs/worker.go
+++ b/coordination/jobs/worker.go
@@ -52,6 +52,7 @@
 	leasesExpireAt  time.Duration // time after which all granted leases have certainly expired
 	answerClockMS   int64         // worker's clock in its last answer in milliseconds, 0 if none
 	answeredAt      time.Duration // time of that answer
+	observedAt      time.Duration // send time of the last observation that it has answered
 	lastContact     time.Duration // time of the last heartbeat or answer
 	sequence        int64         // sequence number of the last heartbeat
 	misses          int           // consecutive unanswered observations
