jobs: the platform is asked about VMs of a wave without a worker

Cause: a VM without a known worker for 12 s counted as removed, and was recorded among those whose maintenance had begun. The platform, which can tell, was not asked.

Change: after 12 s without a worker, and each 12 s, the platform is asked to take the VM down. "busy" keeps the wave open, also beyond its duration, 400 leaves the VM out, 200 is its maintenance. The request is committed before, naming no worker. VMs that are off do not count for the time that the others of the wave have left.

--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -13,8 +13,8 @@
 	waveMargin = 2 * time.Second
 	// maintenanceRetry is the delay before a maintenance request that failed is sent again.
 	maintenanceRetry = 500 * time.Millisecond
-	// vmAbsenceLimit is how long a wave waits for a VM without a worker. A VM that was
-	// removed for good cannot be maintained.
+	// vmAbsenceLimit is how long a VM of a wave may have no worker before the platform is asked to take
+	// it down all the same, and the pause before it is asked again.
 	vmAbsenceLimit = 12 * time.Second
 )
 
@@ -150,14 +150,16 @@
 	if len(open) == 0 {
 		return
 	}
-	slack := l.waveSlack(wave, open)
+	slack := l.waveSlack(wave, l.presentVMs(wave, open))
 	for _, vm := range open {
 		if busy >= max(1, wave.MaxDown) {
 			return
 		}
 		w := l.workerOf(vm)
 		if w == nil {
-			l.skipAbsentVM(wave, vm)
+			if l.askAboutAbsentVM(wave, vm) {
+				busy++
+			}
 			continue
 		}
 		delete(l.waves.absentSince, vm)
@@ -170,7 +172,7 @@
 		}
 		l.waves.cordoned[vm] = true
 		if l.mayStartMaintenance(w, slack) && l.now >= l.waves.nextAttempt[vm] {
-			l.requestMaintenance(wave, w)
+			l.requestMaintenance(wave, vm, w.Incarnation)
 		}
 	}
 }
@@ -181,7 +183,7 @@
 func (l *Leader) waveSlack(wave *job.Wave, open []string) time.Duration {
 	const reserve = time.Second // for requests and for the return of the worker
 	left := time.Duration(wave.AcceptedMS+wave.DurationMS-l.wallMS)*time.Millisecond - waveMargin
-	rounds := time.Duration((len(open) + max(1, wave.MaxDown) - 1) / max(1, wave.MaxDown))
+	rounds := max(1, time.Duration((len(open)+max(1, wave.MaxDown)-1)/max(1, wave.MaxDown)))
 	slack := left/rounds - l.bounds.MaintenanceTime - reserve
 	withService := 0
 	for _, vm := range open {
@@ -203,19 +205,17 @@
 	return false
 }
 
-// requestMaintenance asks the platform to take down the VM of a worker. Which worker is on the VM
-// is committed before the first request: the answer to a repeated request does not say when the
+// requestMaintenance asks the platform to take down a VM. Which worker is on the VM, none if on is
+// zero, is committed before the first request: the answer to a repeated request does not say when the
 // VM was taken down, and another worker may run there by then.
-func (l *Leader) requestMaintenance(wave *job.Wave, w *worker) {
-	vm := w.rec.VM
+func (l *Leader) requestMaintenance(wave *job.Wave, vm string, on job.Incarnation) {
+	l.waves.inFlight[vm] = wave.Number
 	if r := wave.Request(vm); r != nil {
-		l.waves.inFlight[vm] = wave.Number
 		l.waves.downSince[vm] = l.now
-		l.host.Emit(StartMaintenance{VM: vm, Wave: wave.Number, Term: l.term, Worker: r.Worker})
+		l.host.Emit(StartMaintenance{VM: vm, Wave: wave.Number, Term: l.term, Worker: l.workerToEnd(r, on)})
 		return
 	}
-	l.waves.inFlight[vm] = wave.Number
-	ok := l.propose(&job.Command{RequestMaintenance: &job.MaintenanceRequest{Wave: wave.Number, VM: vm, Worker: w.Incarnation}}, func(_ job.Applied, committed bool) {
+	ok := l.propose(&job.Command{RequestMaintenance: &job.MaintenanceRequest{Wave: wave.Number, VM: vm, Worker: on}}, func(_ job.Applied, committed bool) {
 		delete(l.waves.inFlight, vm)
 		if committed {
 			l.advanceWaves() // the VM is taken down if that is still allowed
@@ -236,18 +236,6 @@
 	return ok && (l.now-at < l.bounds.MaintenanceTime || l.workerOf(vm) == nil && l.now-at < vmAbsenceLimit)
 }
 
-// skipAbsentVM removes a VM from a wave once it has had no worker for vmAbsenceLimit.
-func (l *Leader) skipAbsentVM(wave *job.Wave, vm string) {
-	since, ok := l.waves.absentSince[vm]
-	if !ok {
-		l.waves.absentSince[vm] = l.now
-		return
-	}
-	if l.now-since > vmAbsenceLimit && l.recordMaintenance(wave.Number, vm) {
-		l.waves.absentSince[vm] = l.now
-	}
-}
-
 // recordMaintenance replicates that the maintenance of a VM has started, or that the wave passes it over. It
 // returns false if the log takes no entry now; the next check tries again. The platform is not asked again
 // meanwhile, since the answer to a repeated request does not say when the VM was taken down.
@@ -330,6 +318,11 @@
 	}
 	at, unanswered := l.waves.unanswered[vm]
 	l.waves.refused[vm] = e.Result != OrderDone && (!unanswered || l.now-at >= vmAbsenceLimit)
+	if e.Result == OrderInvalid && l.workerOf(vm) == nil {
+		delete(l.waves.downSince, vm)
+		l.leaveOutVM(e.Start.Wave, vm)
+		return
+	}
 	if e.Result != OrderDone {
 		if e.Result != OrderUnanswered {
 			delete(l.waves.downSince, vm)
--- a/state/job/command.go
+++ b/state/job/command.go
@@ -106,7 +106,7 @@
 }
 
 // MaintenanceStarted records that the maintenance of a VM has started, or that the
-// wave skips the VM because it has no worker.
+// wave leaves out the VM because the platform does not know it.
 type MaintenanceStarted struct {
 	Wave int    `json:"wave"`
 	VM   string `json:"vm"`
