platform: no late request for maintenance arrives after a leader's successor

What the platform saw: the zone of the leader was cut off just before it sent a request for maintenance.

Cause: an unanswered request was given up by closing its connection, so that its bytes still arrived, and the next leader could send its own 0.26 s after its election. By reading: a leader that was paused while its request was being committed sent it without a lease, and a request had no age from which it was not sent.

A new leader waits until an earlier one has given up its last request.

--- a/coordination/jobs/wave.go
+++ b/coordination/jobs/wave.go
@@ -9,6 +9,13 @@
 )
 
 const (
+	// MaintenanceTimeout is the time after which a request for maintenance without an answer is given up, and
+	// its connection is reset, so that it does not reach the platform any more.
+	MaintenanceTimeout = 2 * time.Second
+	// earlierMaintenanceTime is the time from the election of a leader until an earlier leader has given up its
+	// last request for maintenance, which it sent before its lease ended. Platforms that do not compare fencing
+	// tokens would carry out that request after one of the new leader.
+	earlierMaintenanceTime = maxOrderAge + MaintenanceTimeout + 150*time.Millisecond
 	// waveMargin is the part of a wave's duration that is reserved for retries.
 	waveMargin = 2 * time.Second
 	// maintenanceRetry is the delay before a maintenance request that failed is sent again.
@@ -123,6 +130,7 @@
 		for _, r := range wave.Requests {
 			l.waves.downSince[r.VM] = l.now
 			l.waves.unanswered[r.VM] = l.now
+			l.waves.nextAttempt[r.VM] = l.now + earlierMaintenanceTime
 		}
 	}
 }
@@ -218,7 +226,7 @@
 	ok := l.propose(&job.Command{RequestMaintenance: &job.MaintenanceRequest{Wave: wave.Number, VM: vm, Worker: on}}, func(_ job.Applied, committed bool) {
 		delete(l.waves.inFlight, vm)
 		if committed {
-			l.advanceWaves() // the VM is taken down if that is still allowed
+			l.nextPeriodicCheck = l.now // takes down the VM if that is still allowed and the leader still holds its lease
 		}
 	})
 	if !ok {
--- a/transport/site/member.go
+++ b/transport/site/member.go
@@ -274,12 +274,13 @@
 // result to the control goroutine. The leader limits the orders in flight for each worker and
 // step, which bounds the number of goroutines.
 func (m *member) executeOrder(e jobs.Effect, issuedAt time.Duration) {
-	ev := m.sendToWorker(e, m.peers.Self.Now()-issuedAt)
+	age := m.peers.Self.Now() - issuedAt
+	ev := m.sendToWorker(e, age)
 	switch e := e.(type) {
 	case jobs.RequestAdvice:
 		ev = m.requestAdvice(e)
 	case jobs.StartMaintenance:
-		ev = jobs.MaintenanceAnswered{Start: e, Result: m.platform.VMs.Maintain(m.runCtx, e, m.settings.Name)}
+		ev = m.maintain(e, age)
 	}
 	if ev == nil {
 		return
@@ -326,6 +327,14 @@
 	return nil
 }
 
+// maintain sends a request for maintenance to the platform, unless it is too old.
+func (m *member) maintain(e jobs.StartMaintenance, age time.Duration) jobs.MaintenanceAnswered {
+	if jobs.TooOldToSend(age) {
+		return jobs.MaintenanceAnswered{Start: e, Result: jobs.OrderNotSent}
+	}
+	return jobs.MaintenanceAnswered{Start: e, Result: m.platform.VMs.Maintain(m.runCtx, e, m.settings.Name)}
+}
+
 // requestAdvice asks for advice through the process that the leader chose, which may be
 // this one.
 func (m *member) requestAdvice(e jobs.RequestAdvice) jobs.AdviceAnswered {
--- a/transport/site/member_test.go
+++ b/transport/site/member_test.go
@@ -6,10 +6,33 @@
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/jobs"
+	"github.com/primrosereach/primrosereach/protocol/settings"
 	"github.com/primrosereach/primrosereach/transport/control"
 	"github.com/primrosereach/primrosereach/transport/peer"
 )
 
+// countingVMs counts the requests for maintenance that are sent.
+type countingVMs struct{ requests int }
+
+// Maintain implements VMs.
+func (v *countingVMs) Maintain(context.Context, jobs.StartMaintenance, string) jobs.OrderResult {
+	v.requests++
+	return jobs.OrderDone
+}
+
+// Guards against a request for maintenance that a process sends after it was frozen: the next leader may have
+// sent one meanwhile.
+func TestOldMaintenanceRequestsAreNotSent(t *testing.T) {
+	vms := &countingVMs{}
+	m := &member{process: &process{platform: Platform{VMs: vms}, settings: &settings.Site{}}, runCtx: context.Background()}
+	if a := m.maintain(jobs.StartMaintenance{VM: "m"}, 10*time.Millisecond); a.Result != jobs.OrderDone || vms.requests != 1 {
+		t.Errorf("a request of 10 ms: %v, %d sent", a.Result, vms.requests)
+	}
+	if a := m.maintain(jobs.StartMaintenance{VM: "m"}, time.Minute); a.Result != jobs.OrderNotSent || vms.requests != 1 {
+		t.Errorf("a request of a minute: %v, %d sent", a.Result, vms.requests)
+	}
+}
+
 // countingWorkers counts the starts that are sent.
 type countingWorkers struct {
 	Workers
