jobs: retention, maintenance and epochs in files of their own

The answers to calls whose command is not taken or not committed stood in five places; proposeForCall and two functions hold them now.

--- a/coordination/jobs/calls.go
+++ b/coordination/jobs/calls.go
@@ -20,6 +20,32 @@
 	return Answer{Code: CodeUnavailable, Message: message, RetryAfter: retryUnavailable}
 }
 
+// logUnavailable is the answer to a call whose command the replicated log does not take now.
+func logUnavailable() Answer {
+	return unavailable("the replicated log accepts no entries at present")
+}
+
+// outcomeUnknown is the answer to a call whose command may be committed by the next leader. what names what
+// was to be stored.
+func outcomeUnknown(what string) Answer {
+	return Answer{Code: CodeUnknown, Message: "leadership changed while the " + what + " was being stored"}
+}
+
+// proposeForCall replicates the command of a call. onCommit is called when it is committed, and answers the
+// call. If the command is not committed, proposeForCall answers it.
+func (l *Leader) proposeForCall(t Token, c *job.Command, what string, onCommit func()) {
+	ok := l.propose(c, func(_ job.Applied, committed bool) {
+		if !committed {
+			l.host.Reply(t, outcomeUnknown(what))
+			return
+		}
+		onCommit()
+	})
+	if !ok {
+		l.host.Reply(t, logUnavailable())
+	}
+}
+
 // resolve returns the queue of a call and the job ID in its path. If no queue matches or
 // no configuration is in force, it answers the call and returns nil.
 func (l *Leader) resolve(t Token, host, path string) (*job.Queue, job.ID) {
@@ -98,7 +124,7 @@
 		j := l.state.Job(id)
 		switch {
 		case !committed:
-			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the job was being stored"})
+			l.host.Reply(e.Token, outcomeUnknown("job"))
 		case j == nil:
 			l.host.Reply(e.Token, Answer{Code: CodeNoQueue, Message: "the queue was removed"})
 		default:
@@ -107,7 +133,7 @@
 		l.submitted(id, committed)
 	})
 	if !ok {
-		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
+		l.host.Reply(e.Token, logUnavailable())
 		l.submitted(id, true)
 	}
 }
@@ -127,7 +153,7 @@
 		if outcomeKnown {
 			l.cancel(e)
 		} else {
-			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the job was being stored"})
+			l.host.Reply(e.Token, outcomeUnknown("job"))
 		}
 	}
 }
@@ -171,17 +197,10 @@
 		return
 	}
 	c := e.Configuration
-	ok := l.propose(&job.Command{Configure: &c}, func(_ job.Applied, committed bool) {
-		if !committed {
-			l.host.Reply(e.Token, Answer{Code: CodeUnknown, Message: "leadership changed while the configuration was being stored"})
-			return
-		}
+	l.proposeForCall(e.Token, &job.Command{Configure: &c}, "configuration", func() {
 		l.log("info", "configure", "", "", "a configuration was stored", "version", c.Version, "in_force", l.state.Configuration().Version, "queues", len(c.Queues), "teams", len(c.Teams))
 		l.host.Reply(e.Token, Answer{Code: CodeOK})
 	})
-	if !ok {
-		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
-	}
 }
 
 func (l *Leader) readConfiguration(e ReadConfiguration) {
--- a/coordination/jobs/cancel.go
+++ b/coordination/jobs/cancel.go
@@ -1,35 +1,24 @@
 package jobs
 
-import (
-	"time"
-
-	"github.com/primrosereach/primrosereach/state/job"
-)
+import "github.com/primrosereach/primrosereach/state/job"
 
 // This file decides what the cancel of a job does, and which submissions come too late. A caller whose
 // submission was not answered may cancel the job while a copy of the submission is in flight. The answer
 // "no such job" promises that the job never runs, so it is given once a tombstone is committed that keeps
 // the copy out. A tombstone is deleted when copies of its submission epoch are too old to be accepted.
-// Neither depends on a clock: time decides only when the next epoch starts.
 
 const (
-	// minEpochTime is the minimum length of a submission epoch. It exceeds the longest time for which a
-	// gateway attempts a call, and the period of the heartbeats from which it learns the epoch.
-	minEpochTime = 30 * time.Second
 	// maxTeamTombstones and maxTombstones bound the tombstones of one team, and of all teams.
 	maxTeamTombstones = 2048
 	maxTombstones     = 16 * 1024
 )
 
-// cancels is the leader's record of cancels whose outcome is not known yet, and of the submission epoch.
+// cancels is the leader's record of cancels whose outcome is not known yet.
 type cancels struct {
 	afterSubmit map[job.ID][]Cancel            // cancels that wait for the outcome of a submission
 	committing  map[job.ID]map[string][]Cancel // cancels whose tombstone is being committed, by job and team
 	refused     int                            // cancels of unknown jobs that were refused since the last log line
 	pending     int                            // tombstones that are being committed
-	epoch       int64                          // epoch in force when epochEnd was set
-	epochEnd    time.Duration                  // time from which the next epoch can start
-	advancing   bool                           // the next epoch is being committed
 }
 
 func newCancels() cancels {
@@ -59,17 +48,10 @@
 
 // cancelJob cancels an open job.
 func (l *Leader) cancelJob(t Token, id job.ID) {
-	ok := l.propose(&job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, func(_ job.Applied, committed bool) {
-		if !committed {
-			l.host.Reply(t, Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"})
-			return
-		}
+	l.proposeForCall(t, &job.Command{Cancel: &job.Cancel{Job: id, AtMS: l.wallMS}}, "cancel", func() {
 		l.log("info", "cancel", string(id), "", "the job was cancelled")
 		l.host.Reply(t, Answer{Code: CodeOK, Phase: job.Cancelled})
 	})
-	if !ok {
-		l.host.Reply(t, unavailable("the replicated log accepts no entries at present"))
-	}
 }
 
 // cancelUnknown cancels a job that is not known: it answers once a tombstone of the epoch in force is
@@ -113,7 +95,7 @@
 	cmd := &job.Command{Tombstone: &job.Tombstone{Job: c.id, Team: c.team, Epoch: l.state.Epoch()}}
 	ok := l.propose(cmd, func(a job.Applied, committed bool) { l.tombstoneCommitted(c, a, committed) })
 	if !ok {
-		l.host.Reply(e.Token, unavailable("the replicated log accepts no entries at present"))
+		l.host.Reply(e.Token, logUnavailable())
 		return
 	}
 	byTeam := l.cancels.committing[c.id]
@@ -136,7 +118,7 @@
 	answer := noJob()
 	switch {
 	case !committed:
-		answer = Answer{Code: CodeUnknown, Message: "leadership changed while the cancel was being stored"}
+		answer = outcomeUnknown("cancel")
 	case a.Rejected != nil: // the epoch has ended meanwhile
 		answer = unavailable(a.Rejected.Error())
 	default:
@@ -174,25 +156,3 @@
 	}
 	return l.state.HasTombstone(id, team)
 }
-
-// epochTime returns the length of a submission epoch. Final jobs are kept until copies of their
-// submissions are too old, so it is derived from their retention.
-func (l *Leader) epochTime() time.Duration { return max(minEpochTime, l.retention()/2) }
-
-// advanceEpoch starts the next submission epoch when the one in force has lasted for epochTime. The clock
-// that measured its start may be another leader's, so a new leader waits for minEpochTime at least.
-func (l *Leader) advanceEpoch() {
-	if e := l.state.Epoch(); e != l.cancels.epoch {
-		elapsed := time.Duration(l.wallMS-l.state.EpochStartMS()) * time.Millisecond
-		if l.state.EpochStartMS() == 0 {
-			elapsed = 0
-		}
-		l.cancels.epoch = e
-		l.cancels.epochEnd = l.now + min(max(minEpochTime, l.epochTime()-elapsed), l.epochTime())
-	}
-	if l.now < l.cancels.epochEnd || l.cancels.advancing {
-		return
-	}
-	next := &job.AdvanceEpoch{Epoch: l.state.Epoch() + 1, AtMS: l.wallMS}
-	l.cancels.advancing = l.propose(&job.Command{AdvanceEpoch: next}, func(job.Applied, bool) { l.cancels.advancing = false })
-}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -1,7 +1,6 @@
 package jobs
 
 import (
-	"slices"
 	"time"
 
 	"github.com/primrosereach/primrosereach/coordination/estimate"
@@ -37,8 +36,6 @@
 	// maxTimerMS bounds the time until the next tick, in milliseconds: the due time of an
 	// occurrence may be too far ahead for a time.Duration.
 	maxTimerMS = int64(time.Hour / time.Millisecond)
-	// maxPrunedJobs bounds the number of jobs that one command prunes.
-	maxPrunedJobs = 500
 )
 
 // Leader makes the decisions of one term. It is not safe for concurrent use: one
@@ -77,6 +74,7 @@
 	teams             teamLedger
 	submitting        map[job.ID]int // number of attempts to store a job that are being committed
 	cancels           cancels
+	epoch             submissionEpoch
 	joinChecks        map[claim]*joinCheck
 	foreign           foreignHeartbeats
 	exhaustedTasks    []job.TaskRef // waiting tasks that have no attempt left in the configuration in force
@@ -239,35 +237,6 @@
 	l.needsSchedule = true
 }
 
-// pruneJobs deletes final jobs whose retention has expired.
-func (l *Leader) pruneJobs() {
-	n := 0
-	for n < min(len(l.finalJobs), maxPrunedJobs) && l.mayPrune(l.finalJobs[n]) {
-		n++
-	}
-	old := slices.Clone(l.finalJobs[:n])
-	if n == 0 || !l.propose(&job.Command{Prune: &job.Prune{Jobs: old}}, nil) {
-		return // if the log takes no entry now, the next check tries again
-	}
-	l.finalJobs = l.finalJobs[n:]
-	for _, id := range old {
-		delete(l.retained, id)
-	}
-}
-
-// retention is how long a final job is kept.
-type retention struct {
-	untilMS int64 // Unix milliseconds
-	epoch   int64 // submission epoch in which the job was known to be final
-}
-
-// mayPrune reports whether the retention of a final job has expired, and no copy of its submission can be
-// accepted any more: it would run a second time.
-func (l *Leader) mayPrune(id job.ID) bool {
-	r := l.retained[id]
-	return r.untilMS <= l.wallMS && l.state.EpochExpired(r.epoch)
-}
-
 func (l *Leader) propose(c *job.Command, done func(a job.Applied, committed bool)) bool {
 	return l.host.Propose(c, done)
 }
--- a/coordination/jobs/step.go
+++ b/coordination/jobs/step.go
@@ -152,9 +152,6 @@
 	delete(l.objectives, j.ID)
 }
 
-// retention returns how long a final job is kept after its end at least.
-func (l *Leader) retention() time.Duration { return l.bounds.StatusRetention + 30*time.Second }
-
 // activateDue activates the occurrences that are due.
 func (l *Leader) activateDue() {
 	for {
