jobs: tombstones being committed count for their team only

Cause: the bound of a team counted the tombstones of all teams that were being committed, so that a cancel of another team beside a flood was refused. Found while the change was read again; seen to fail with the extended TestFloodOfCancelsOfUnknownJobsIsBounded ("the cancel of another team beside the flood is answered with unavailable").

Change: they are counted by team. Lines about submissions that come too late are written once for each periodic check, so that a client which sends a cancelled job again and again does not fill the log.

--- a/coordination/jobs/cancel.go
+++ b/coordination/jobs/cancel.go
@@ -17,12 +17,23 @@
 type cancels struct {
 	afterSubmit map[job.ID][]Cancel            // cancels that wait for the outcome of a submission
 	committing  map[job.ID]map[string][]Cancel // cancels whose tombstone is being committed, by job and team
+	pending     map[string]int                 // tombstones that are being committed, by team
+	allPending  int                            // the same of all teams
 	refused     int                            // cancels of unknown jobs that were refused since the last log line
-	pending     int                            // tombstones that are being committed
+	late        lateCopies
 }
 
+// lateCopies counts the submissions that came too late since the last log line about them.
+type lateCopies struct {
+	count  int
+	id     job.ID // job of the last of them
+	reason string // why it was not accepted
+}
+
+func (c *lateCopies) add(id job.ID, reason string) { c.count, c.id, c.reason = c.count+1, id, reason }
+
 func newCancels() cancels {
-	return cancels{afterSubmit: map[job.ID][]Cancel{}, committing: map[job.ID]map[string][]Cancel{}}
+	return cancels{afterSubmit: map[job.ID][]Cancel{}, committing: map[job.ID]map[string][]Cancel{}, pending: map[string]int{}}
 }
 
 func (l *Leader) cancel(e Cancel) {
@@ -74,12 +85,16 @@
 	l.proposeTombstone(e, c)
 }
 
-// logRefusedCancels writes at most one log line for each periodic check.
-func (l *Leader) logRefusedCancels() {
-	if l.cancels.refused > 0 {
-		l.log("warn", "cancel", "", "", "cancels of unknown jobs were refused, since too many came lately", "count", l.cancels.refused)
+// logLateCalls writes at most one log line about cancels, and one about submissions, for each periodic check.
+func (l *Leader) logLateCalls() {
+	if n := l.cancels.refused; n > 0 {
+		l.log("warn", "cancel", "", "", "cancels of unknown jobs were refused, since too many came lately", "count", n)
 		l.cancels.refused = 0
 	}
+	if c := l.cancels.late; c.count > 0 {
+		l.log("info", "submit", string(c.id), "", "submissions came too late and were not accepted", "count", c.count, "reason", c.reason, "epoch", l.state.Epoch())
+		l.cancels.late = lateCopies{}
+	}
 }
 
 // hasRoomForTombstone reports whether one more tombstone stays within the bounds.
@@ -88,7 +103,7 @@
 		return true // it is renewed
 	}
 	ofTeam, total := l.state.Tombstones(c.team)
-	return ofTeam+l.cancels.pending < maxTeamTombstones && total+l.cancels.pending < maxTombstones
+	return ofTeam+l.cancels.pending[c.team] < maxTeamTombstones && total+l.cancels.allPending < maxTombstones
 }
 
 func (l *Leader) proposeTombstone(e Cancel, c jobCall) {
@@ -104,7 +119,8 @@
 		l.cancels.committing[c.id] = byTeam
 	}
 	byTeam[c.team] = []Cancel{e}
-	l.cancels.pending++
+	l.cancels.pending[c.team]++
+	l.cancels.allPending++
 }
 
 // tombstoneCommitted answers the cancels that have waited for a tombstone.
@@ -114,7 +130,10 @@
 	if len(l.cancels.committing[c.id]) == 0 {
 		delete(l.cancels.committing, c.id)
 	}
-	l.cancels.pending--
+	if l.cancels.pending[c.team]--; l.cancels.pending[c.team] == 0 {
+		delete(l.cancels.pending, c.team)
+	}
+	l.cancels.allPending--
 	answer := noJob()
 	switch {
 	case !committed:
@@ -135,16 +154,15 @@
 // cancelled, or the submission is so old that a cancel of it may be forgotten. If so, it answers the call.
 func (l *Leader) isLateCopy(e *Submit, team string) bool {
 	id := e.Submission.ID
+	answer := unavailable("the submission was sent too long ago")
 	switch {
 	case l.isCancelled(id, team):
-		l.log("info", "submit", string(id), "", "a submission was not accepted: the job was cancelled before", "team", team, "epoch", e.Epoch)
-		l.host.Reply(e.Token, Answer{Code: CodeRefused, Message: "the job was cancelled before it was accepted"})
-	case !l.state.AcceptsEpoch(e.Epoch):
-		l.log("info", "submit", string(id), "", "a submission was not accepted: it was sent too long ago", "epoch", e.Epoch, "in_force", l.state.Epoch())
-		l.host.Reply(e.Token, unavailable("the submission was sent too long ago"))
-	default:
+		answer = Answer{Code: CodeRefused, Message: "the job was cancelled before it was accepted"}
+	case l.state.AcceptsEpoch(e.Epoch):
 		return false
 	}
+	l.cancels.late.add(id, answer.Message)
+	l.host.Reply(e.Token, answer)
 	return true
 }
 
--- a/coordination/jobs/cancel_test.go
+++ b/coordination/jobs/cancel_test.go
@@ -182,6 +182,11 @@
 	sim.stateCheckInterval = 1000
 	sim.setTeams(team("a", 1, 0), team("b", 1, 0))
 	before := sim.index
+	sim.token++
+	beside := sim.token // a cancel of another team while those of the flood are being committed
+	sim.after(time.Millisecond, func() {
+		sim.handle(Cancel{Token: beside, Host: "h", Path: "/u/beside", Credential: keyOf("b")})
+	})
 	for i := range 3 * maxTeamTombstones {
 		sim.handle(Cancel{Host: "h", Path: fmt.Sprint("/u/f", i), Credential: keyOf("a")})
 		sim.handle(Cancel{Host: "h", Path: "/u/same", Credential: keyOf("a")})
@@ -194,6 +199,9 @@
 	if a := sim.cancelAs(keyOf("a"), "one-more"); a.Code != CodeUnavailable || a.RetryAfter == 0 {
 		t.Errorf("a cancel beyond the bound is answered with %+v", a)
 	}
+	if a := sim.answers[beside]; a.Code != CodeNoJob {
+		t.Errorf("the cancel of another team beside the flood is answered with %+v", a)
+	}
 	if a := sim.cancelAs(keyOf("b"), "other"); a.Code != CodeNoJob {
 		t.Errorf("the cancel of another team is answered with %+v", a)
 	}
--- a/coordination/jobs/leader.go
+++ b/coordination/jobs/leader.go
@@ -207,7 +207,7 @@
 	l.removeInvalidRecords()
 	l.failExhausted()
 	l.logForeignHeartbeats()
-	l.logRefusedCancels()
+	l.logLateCalls()
 	l.lateStarts.expire(l.now)
 	l.checkAdvice()
 	l.checkGangs()
--- a/state/job/tombstone.go
+++ b/state/job/tombstone.go
@@ -95,7 +95,7 @@
 
 // AcceptsEpoch reports whether a submission of an epoch may be accepted. A sender of an earlier version
 // states none, 0, and its submissions are accepted whatever their age.
-func (s *State) AcceptsEpoch(epoch int64) bool { return epoch == 0 || epoch > s.epoch-submissionEpochs }
+func (s *State) AcceptsEpoch(epoch int64) bool { return epoch == 0 || !s.EpochExpired(epoch) }
 
 // EpochExpired reports whether no submission that was sent in an epoch or before it can be accepted any more.
 func (s *State) EpochExpired(epoch int64) bool { return epoch <= s.epoch-submissionEpochs }
