--- a/coordination/jobs/absentvm.go
+++ b/coordination/jobs/absentvm.go
@@ -3,7 +3,7 @@
 import "github.com/primrosereach/primrosereach/state/job"
 
 // A VM of a wave may have no worker: it is off, its worker is cut off or has not joined yet, or it was removed
-// for good. Only the platform can tell, so it is asked. While a VM is off it answers that the VM is busy, and
+// for good. Only the platform knows which, so it is asked. While a VM is off it answers that the VM is busy, and
 // the wave stays open, also beyond its duration.
 
 // askAboutAbsentVM asks the platform to take down a VM that has had no worker for vmAbsenceLimit. It reports
--- a/coordination/jobs/cancel.go
+++ b/coordination/jobs/cancel.go
@@ -151,7 +151,8 @@
 func noJob() Answer { return Answer{Code: CodeNoJob, Message: "no such job"} }
 
 // isLateCopy reports whether a submission of a job that is not known must not be accepted: the job was
-// cancelled, or the submission is so old that a cancel of it may be forgotten. If so, it answers the call.
+// cancelled, or the submission is so old that the tombstone of a cancel may have been deleted. If so, it answers
+// the call.
 func (l *Leader) isLateCopy(e *Submit, team string) bool {
 	id := e.Submission.ID
 	answer := unavailable("the submission was sent too long ago")
--- a/transport/site/client.go
+++ b/transport/site/client.go
@@ -60,7 +60,7 @@
 	rejections    rejections
 
 	// epoch is the submission epoch that the leader named last. A submission carries the epoch that was
-	// known when it arrived, in all its attempts, so that the leader can tell how old a late copy is.
+	// known when it arrived, in all its attempts, so that the leader can bound the age of a late copy.
 	epoch atomic.Int64
 
 	// lastConfiguration is the configuration that was read last. Reads send its version,
